--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,787 @@
+//! The decisions of one front. The vocabulary (settings, events, actions) is in `interface.rs`.
+//!
+//! Reading order: constants, what is known of servers, the ledger, list and health, the pick, admission
+//! and attempts, news and degrading. Three functions guard the rules: `send` is the only one that sends,
+//! `set_rung` the only one that sets rungs, `answer` the only one that gives final answers.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Share of a link or uplink that the ledger may reach (the paper's example for an operator's threshold).
+const MARK: f64 = 0.95;
+/// A reported or noted base fades to zero over this time (the design's figure).
+const FADE: Duration = Duration::from_secs(30);
+/// A session steps down at most once in this time (the design's figure).
+const STEP_GAP: Duration = Duration::from_secs(30);
+/// Delivered share under which a link counts as short (the wire's own bound for notes of it).
+const SHORT: f64 = 0.98;
+/// How much lower the mark of a step of lesser worth per kB is: the mark goes with this power of it.
+const STEP_POWER: f64 = 0.25;
+/// Usual age of a load report that comes without one: about half of a usual refresh and the way.
+const REPORT_AGE: Duration = Duration::from_millis(500);
+/// First rest of a server after a failure, doubled for each further one...
+const REST: Duration = Duration::from_secs(1);
+/// ...up to this, so that one that is back is found within a fraction of a usual outage.
+const LONGEST_REST: Duration = Duration::from_secs(8);
+/// An attempt gets this part of the class's aim, so that a second one can still meet the aim.
+const TRY_PART: f64 = 0.5;
+/// Span over which a tenant's traffic is averaged.
+const TENANT_SPAN: f64 = 5.0;
+/// The timer token for asking for the list again.
+const ASK_AGAIN: u64 = 1;
+
+/// Seconds of a span.
+fn secs(d: Duration) -> f64 {
+    d.as_secs_f64()
+}
+
+/// A value that fades to zero over `FADE`.
+#[derive(Clone, Copy, Default)]
+struct Fading(f64, Duration);
+
+impl Fading {
+    fn at(self, now: Duration) -> f64 {
+        self.0 * (1.0 - secs(now.saturating_sub(self.1)) / secs(FADE)).max(0.0)
+    }
+}
+
+/// The ledger's page on one link or uplink, in parts of its size.
+#[derive(Default)]
+struct Meter {
+    booked: f64,
+    /// What the own playing sessions ask, with its recent past: reports are late.
+    playing: VecDeque<(Duration, f64)>,
+    base: Fading,
+    /// The newest reading, as it was told.
+    told: Option<f64>,
+}
+
+impl Meter {
+    fn used(&self, now: Duration) -> f64 {
+        self.booked + self.base.at(now)
+    }
+
+    fn record(&mut self, now: Duration, playing: f64, keep: Duration) {
+        while self.playing.len() > 1 && self.playing[1].0 + keep < now {
+            self.playing.pop_front();
+        }
+        self.playing.push_back((now, playing));
+    }
+
+    /// What the own sessions asked at that time.
+    fn own_at(&self, then: Duration) -> f64 {
+        let past = self.playing.iter().rev().find(|(t, _)| *t <= then).or(self.playing.front());
+        past.map_or(0.0, |p| p.1)
+    }
+
+    /// A reading taken `age` ago: the base is what the own sessions of that time don't explain.
+    fn read(&mut self, now: Duration, age: Duration, reading: f64) {
+        self.told = Some(reading);
+        self.base = Fading(reading - self.own_at(now.saturating_sub(age)), now);
+    }
+
+    /// Short delivery: the page reads full from now on, fading.
+    fn fill(&mut self, now: Duration) {
+        self.base = Fading((1.0 - self.booked).max(self.base.at(now)), now);
+    }
+}
+
+/// What is known of one server.
+struct Server {
+    entry: Entry,
+    /// Own sessions by title, class and rung: booked, and of these playing.
+    groups: BTreeMap<(TitleId, usize, usize), [u32; 2]>,
+    link: Meter,
+    /// Booked and playing rate, kB a second.
+    rate: [f64; 2],
+    /// When it started cold, as far as known.
+    cold_since: Option<Duration>,
+    /// It was seen to fail in a way that may mean a restart: cold when it returns.
+    lost: bool,
+    /// Own sends while cold.
+    sends: VecDeque<Duration>,
+    fails: u32,
+    rest_until: Duration,
+    /// An attempt that shows whether it is back is out.
+    trial: bool,
+    /// Short notes in a row.
+    short_notes: u32,
+}
+
+/// What is known of one rack.
+#[derive(Default)]
+struct Rack {
+    uplink: f64,
+    meter: Meter,
+    /// Rated links of its cells.
+    cells: BTreeMap<u64, f64>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Waiting,
+    Out(ServerId),
+    Playing(ServerId, Duration),
+}
+
+/// One request, from its call to the end of its session.
+struct Session {
+    call: Call,
+    state: State,
+    rung: usize,
+    attempts: u32,
+    /// An attempt may have run.
+    ran: bool,
+    /// Nothing is owed any more.
+    over: bool,
+    stepped: Option<Duration>,
+}
+
+/// A tenant's recent traffic.
+#[derive(Default, Clone)]
+struct Traffic {
+    rate: f64,
+    since: Duration,
+}
+
+/// One front.
+pub struct Brain {
+    set: Settings,
+    rng: fastrand::Rng,
+    now: Duration,
+    out: Vec<Action>,
+    servers: BTreeMap<ServerId, Server>,
+    racks: BTreeMap<u64, Rack>,
+    sessions: BTreeMap<RequestId, Session>,
+    /// Sessions by title and class, from send to final outcome.
+    seats: BTreeMap<(TitleId, usize), usize>,
+    traffic: Vec<Traffic>,
+    /// Requests taken and further attempts made, within the ration's span.
+    taken: VecDeque<Duration>,
+    extra: VecDeque<Duration>,
+    waiting: Vec<RequestId>,
+    /// For each class and rung: the mark of the ledger up to which it is given.
+    marks: Vec<Vec<f64>>,
+}
+
+impl Brain {
+    /// A front that knows its settings and nothing else.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        let traffic = vec![Traffic::default(); set.tenants.len()];
+        let marks = set.classes.iter().map(|c| marks(&set, c)).collect();
+        Brain {
+            set,
+            rng: fastrand::Rng::with_seed(seed),
+            now: Duration::ZERO,
+            out: Vec::new(),
+            servers: BTreeMap::new(),
+            racks: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            traffic,
+            taken: VecDeque::new(),
+            extra: VecDeque::new(),
+            waiting: Vec::new(),
+            marks,
+        }
+    }
+
+    /// Takes all events of one instant and returns what to do, in order.
+    ///
+    /// News and ends are booked first; then retries and new calls are placed.
+    pub fn step(&mut self, now: Duration, events: &[Event]) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let mut calls = Vec::new();
+        for event in events {
+            match event {
+                Event::List(mode, entries) => self.list(*mode, entries),
+                Event::Call(call) => {
+                    if self.take(call) {
+                        calls.push(call.request);
+                    }
+                }
+                Event::Adopted(call, server) => self.adopt(call, *server),
+                Event::Playing(request, _, server, _) => self.playing(*request, *server),
+                Event::Note(request, server, note) => self.note(*request, *server, *note),
+                Event::Ended(request, attempt, server, outcome, closed, report) => {
+                    self.report(*server, REPORT_AGE, *report);
+                    self.ended(*request, *attempt, *server, *outcome, *closed)
+                }
+                Event::Gone(request) => self.gone(*request),
+                Event::Timer(ASK_AGAIN) => self.out.push(Action::Subscribe),
+                Event::Timer(_) => {}
+            }
+        }
+        for request in std::mem::take(&mut self.waiting).into_iter().chain(calls) {
+            self.place(request);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    // ---- The ledger ----
+
+    /// Size of a server's link now. A cold one gives the part that it has surely warmed.
+    fn link_size(&self, s: &Server) -> f64 {
+        self.rated_link(&s.entry) * if self.is_cold(s) { self.set.rules.cold_from.max(0.01) } else { 1.0 }
+    }
+
+    /// Size of a server's link as told: by its weight, or by its kind's streams.
+    fn rated_link(&self, e: &Entry) -> f64 {
+        if self.set.weights_tell_size {
+            return e.weight * self.set.link_unit;
+        }
+        let streams = |kind: usize| self.set.streams_by_kind.get(kind).copied().unwrap_or(1.0);
+        let all: f64 = self.servers.values().map(|s| streams(s.entry.kind)).sum();
+        let mean = all / self.servers.len().max(1) as f64;
+        self.set.link_unit * if mean > 0.0 { streams(e.kind) / mean } else { 1.0 }
+    }
+
+    fn rack_of(&self, cell: u64) -> Option<u64> {
+        (self.set.racks > 0 && self.set.rack_uplink > 0.0).then(|| cell % self.set.racks.max(1))
+    }
+
+    /// Rate of `n` sessions of a class at a rung: with live sharing, the first in full, others in part.
+    fn group_rate(&self, class: usize, rung: usize, n: u32) -> f64 {
+        let c = &self.set.classes[class];
+        let rate = self.set.ladder[rung].rate * c.scale;
+        let n = f64::from(n);
+        if c.live && self.set.join < 1.0 && n > 0.0 {
+            return rate * (1.0 + (n - 1.0) * self.set.join);
+        }
+        rate * n
+    }
+
+    /// Cost on a link of `n` such sessions: by rate, or by the streams they take if that is more.
+    fn group_cost(&self, s: &Server, class: usize, rung: usize, n: u32) -> f64 {
+        let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(0.0);
+        let c = &self.set.classes[class];
+        let taken = if c.live && self.set.join < 1.0 { n.min(1) } else { n };
+        let place = if streams > 0.0 { f64::from(taken) / streams } else { 0.0 };
+        (self.group_rate(class, rung, n) / self.link_size(s).max(1e-9)).max(place)
+    }
+
+    /// Adds or takes a session to or from a server's groups, and works its page out anew.
+    fn book(&mut self, server: ServerId, key: (TitleId, usize, usize), booked: i32, playing: i32) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let group = s.groups.entry(key).or_default();
+        group[0] = group[0].saturating_add_signed(booked);
+        group[1] = group[1].saturating_add_signed(playing);
+        if group[0] == 0 {
+            s.groups.remove(&key);
+        }
+        self.reckon(server);
+    }
+
+    fn reckon(&mut self, server: ServerId) {
+        let Some(s) = self.servers.get(&server) else { return };
+        let mut cost = [0.0; 2];
+        let mut rate = [0.0; 2];
+        for ((_, class, rung), n) in &s.groups {
+            for i in 0..2 {
+                cost[i] += self.group_cost(s, *class, *rung, n[i]);
+                rate[i] += self.group_rate(*class, *rung, n[i]);
+            }
+        }
+        let (now, keep, rack) = (self.now, self.set.told_late + REPORT_AGE, self.rack_of(s.entry.cell));
+        let s = self.servers.get_mut(&server).expect("looked up above");
+        s.link.booked = cost[0];
+        s.link.record(now, cost[1], keep);
+        s.rate = rate;
+        let Some(rack) = rack else { return };
+        let mut sum = [0.0; 2];
+        for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
+            sum[0] += s.rate[0];
+            sum[1] += s.rate[1];
+        }
+        let r = self.racks.entry(rack).or_default();
+        r.meter.booked = sum[0] / r.uplink.max(1e-9);
+        r.meter.record(now, sum[1] / r.uplink.max(1e-9), keep);
+    }
+
+    // ---- List and health ----
+
+    fn list(&mut self, mode: ListMode, entries: &[Entry]) {
+        if mode == ListMode::Broken {
+            if !self.set.list_pushed {
+                self.out.push(Action::Timer(self.set.rules.ask_within / 2, ASK_AGAIN));
+            }
+            return;
+        }
+        if mode == ListMode::Stale && !self.set.list_pushed {
+            self.out.push(Action::Subscribe);
+        }
+        if mode != ListMode::Patch {
+            for s in self.servers.values_mut() {
+                s.entry.state = Listed::Gone;
+            }
+        }
+        for e in entries {
+            let (now, cold) = (self.now, self.set.rules.cold);
+            let s = self.servers.entry(e.server).or_insert_with(|| Server::new(*e));
+            let restarted = e.started > s.entry.started;
+            s.entry = *e;
+            if e.started > Duration::ZERO && e.started + cold > now {
+                s.cold_since = s.cold_since.max(Some(e.started));
+            }
+            if restarted {
+                // A new start ends what was held against the old process.
+                (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
+            }
+        }
+        self.size_racks();
+    }
+
+    /// Uplinks: the told mean, given to the racks by the rated links of their cells.
+    fn size_racks(&mut self) {
+        let links: Vec<_> =
+            self.servers.values().map(|s| (s.entry.cell, self.rated_link(&s.entry))).collect();
+        for (cell, link) in links {
+            if let Some(rack) = self.rack_of(cell) {
+                self.racks.entry(rack).or_default().cells.insert(cell, link);
+            }
+        }
+        let all: f64 = self.racks.values().flat_map(|r| r.cells.values()).sum();
+        let mean = all / self.racks.len().max(1) as f64;
+        for r in self.racks.values_mut() {
+            let own: f64 = r.cells.values().sum();
+            r.uplink = self.set.rack_uplink * if mean > 0.0 { own / mean } else { 1.0 };
+        }
+    }
+
+    fn is_cold(&self, s: &Server) -> bool {
+        s.lost || s.cold_since.is_some_and(|t| t + self.set.rules.cold > self.now)
+    }
+
+    /// Rule 4: whether a set-up now stays within the own share of a cold server's budget, taking it for
+    /// no warmer than at its start. Where the share is under one set-up a window, they are spread out.
+    fn cold_allows(&self, s: &Server) -> bool {
+        if !self.is_cold(s) {
+            return true;
+        }
+        let r = &self.set.rules;
+        let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
+        let per_s = r.fall_multiple * streams / secs(r.cold).max(1e-9) * r.cold_from;
+        let share = per_s * secs(r.fall_span) / self.set.fronts.max(1) as f64;
+        let window = secs(r.fall_span) / share.min(1.0).max(1e-9);
+        let recent = s.sends.iter().filter(|t| secs(self.now - **t) < window).count();
+        ((recent + 1) as f64) <= share.max(1.0)
+    }
+
+    /// A set-up or stream failed there: the server rests, longer each time.
+    fn failed(&mut self, server: ServerId, lost: bool, why: &str) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.trial = false;
+        s.lost |= lost;
+        if now < s.rest_until && s.fails > 0 {
+            return; // one trouble, heard of by several sessions
+        }
+        s.fails += 1;
+        s.rest_until = now + (REST * 2u32.pow((s.fails - 1).min(8))).min(LONGEST_REST);
+        if s.fails == 1 {
+            self.out.push(Action::Log(format!("server {server} rests: {why}")));
+        }
+    }
+
+    fn worked(&mut self, server: ServerId) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.trial = false;
+        if s.lost {
+            s.lost = false;
+            s.cold_since = s.cold_since.max(Some(now));
+        }
+        if s.fails > 0 {
+            s.fails = 0;
+            s.rest_until = now;
+            self.out.push(Action::Log(format!("server {server} works again")));
+        }
+    }
+
+    // ---- Pick and admission ----
+
+    fn holds(&self, call: &Call, s: &Server) -> bool {
+        let cells = self.set.cells;
+        cells == 0
+            || call.cells >= cells
+            || (s.entry.cell + cells - call.first_cell % cells) % cells < call.cells
+    }
+
+    /// Whether a set-up of this request may go to that server at all.
+    fn usable(&self, call: &Call, s: &Server) -> bool {
+        let class = &self.set.classes[call.class];
+        s.entry.state == Listed::Serving
+            && self.holds(call, s)
+            && s.rest_until <= self.now
+            && (s.fails == 0 || (!s.trial && !class.at_most_once))
+            && self.cold_allows(s)
+    }
+
+    /// The holder with the most room on link and uplink, and the highest rung that fits there.
+    fn pick(&mut self, call: &Call) -> Option<(ServerId, usize)> {
+        let class = self.set.classes.get(call.class)?;
+        let top = call.top.min(class.top).min(self.set.ladder.len().checked_sub(1)?);
+        if class.floor > top {
+            return None;
+        }
+        let now = self.now;
+        let mut rooms = Vec::new();
+        for (id, s) in self.servers.iter().filter(|(_, s)| self.usable(call, s)) {
+            let link = s.link.used(now);
+            let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
+            let rack = rack.map_or((0.0, f64::INFINITY), |r| (r.meter.used(now), r.uplink));
+            rooms.push((link.max(rack.0), *id, link, rack));
+        }
+        self.rng.shuffle(&mut rooms); // ties at random
+        rooms.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let worth = self.tenant_worth(call.tenant).powf(STEP_POWER);
+        for (_, id, link, rack) in rooms {
+            let s = &self.servers[&id];
+            for rung in (class.floor..=top).rev() {
+                let n = s.groups.get(&(call.title, call.class, rung)).map_or(0, |g| g[0]);
+                let cost =
+                    self.group_cost(s, call.class, rung, n + 1) - self.group_cost(s, call.class, rung, n);
+                let rate = self.group_rate(call.class, rung, n + 1) - self.group_rate(call.class, rung, n);
+                let mark = self.marks[call.class][rung] * worth;
+                if link + cost <= mark && rack.0 + rate / rack.1 <= mark {
+                    return Some((id, rung));
+                }
+            }
+        }
+        None
+    }
+
+    /// Expected worth of a tenant's next session: its traffic past its share is worth little.
+    fn tenant_worth(&self, tenant: Option<usize>) -> f64 {
+        let Some(i) = tenant else { return 1.0 };
+        let quota = self.set.tenants[i].quota / self.set.fronts.max(1) as f64;
+        let within = if quota > 0.0 { (quota / self.traffic[i].rate.max(1e-9)).min(1.0) } else { 1.0 };
+        within + (1.0 - within) * self.set.over_share_worth
+    }
+
+    fn take(&mut self, call: &Call) -> bool {
+        if self.sessions.contains_key(&call.request) {
+            return false;
+        }
+        self.taken.push_back(self.now);
+        let mut call = call.clone();
+        if call.tenant.is_some_and(|t| t >= self.set.tenants.len()) {
+            call.tenant = None;
+        }
+        if let (Some(i), false) = (call.tenant, call.again) {
+            let t = &mut self.traffic[i];
+            let gone = secs(self.now - t.since);
+            t.rate = t.rate * (-gone / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
+            t.since = self.now;
+        }
+        let session = Session::new(call.clone(), State::Waiting);
+        self.sessions.insert(call.request, session);
+        true
+    }
+
+    fn place(&mut self, request: RequestId) {
+        let Some(s) = self.sessions.get(&request) else { return };
+        if s.state != State::Waiting || s.over {
+            return;
+        }
+        let call = s.call.clone();
+        let (seats, key) =
+            (self.set.classes.get(call.class).map_or(0, |c| c.seats), (call.title, call.class));
+        // Rule 5: seats count adopted sessions and those in set-up.
+        let seated = seats == 0 || self.seats.get(&key).copied().unwrap_or(0) < seats;
+        match if seated { self.pick(&call) } else { None } {
+            Some((server, rung)) => self.send(request, server, rung),
+            None => self.answer(request),
+        }
+    }
+
+    /// The one place that sends. What rules 1 to 5 ask is checked by `usable`, `place` and here.
+    fn send(&mut self, request: RequestId, server: ServerId, rung: usize) {
+        let further = self.ration_allows();
+        let cold = self.servers.get(&server).is_some_and(|s| self.is_cold(s));
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        let class = &self.set.classes[s.call.class];
+        let left = s.call.deadline.saturating_sub(self.now);
+        let barred = (s.ran && class.at_most_once)
+            || s.attempts >= self.set.limits.attempts
+            || left.is_zero()
+            || (s.attempts > 0 && !further);
+        if barred {
+            return self.answer(request);
+        }
+        if s.attempts > 0 {
+            self.extra.push_back(self.now);
+        }
+        let again = !class.at_most_once && s.attempts + 1 < self.set.limits.attempts;
+        let within = if again { left.min(class.aim.mul_f64(TRY_PART)) } else { left };
+        s.attempts += 1;
+        s.state = State::Out(server);
+        let key = (s.call.title, s.call.class, rung);
+        *self.seats.entry((key.0, key.1)).or_default() += 1;
+        self.set_rung(request, rung);
+        self.out.push(Action::Send(request, server, within));
+        self.book(server, key, 1, 0);
+        let now = self.now;
+        let s = self.servers.get_mut(&server).expect("picked among them");
+        s.trial = s.fails > 0;
+        if cold {
+            s.sends.push_back(now);
+            while s.sends.len() > 64 {
+                s.sends.pop_front();
+            }
+        }
+    }
+
+    /// Rule 6: whether one more further attempt is within the ration.
+    fn ration_allows(&mut self) -> bool {
+        let Some(r) = self.set.rules.ration else { return true };
+        for list in [&mut self.taken, &mut self.extra] {
+            while list.front().is_some_and(|t| *t + r.span <= self.now) {
+                list.pop_front();
+            }
+        }
+        (self.extra.len() + 1) as f64 <= r.free + r.share * self.taken.len() as f64
+    }
+
+    /// The one place that sets rungs: never above what the viewer and the class allow nor below the floor.
+    fn set_rung(&mut self, request: RequestId, rung: usize) {
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        let class = &self.set.classes[s.call.class];
+        if rung < class.floor || rung > class.top || rung > s.call.top || rung >= self.set.ladder.len() {
+            return;
+        }
+        s.rung = rung;
+        self.out.push(Action::Rung(request, rung));
+    }
+
+    /// The one place that gives final answers: a refusal where no harm can have been done, else a failure.
+    fn answer(&mut self, request: RequestId) {
+        let Some(s) = self.sessions.remove(&request) else { return };
+        if s.over {
+            return;
+        }
+        if s.ran && self.set.classes[s.call.class].at_most_once {
+            self.out.push(Action::Fail(request));
+        } else {
+            self.out.push(Action::Refuse(request, self.set.limits.hold_off));
+        }
+    }
+
+    // ---- Outcomes and news ----
+
+    fn adopt(&mut self, call: &Call, server: ServerId) {
+        if !self.servers.contains_key(&server) || call.class >= self.set.classes.len() {
+            return;
+        }
+        let rung = self.set.classes[call.class].floor.min(self.set.ladder.len().saturating_sub(1));
+        if self.set.ladder.is_empty() {
+            return;
+        }
+        let mut session = Session::new(call.clone(), State::Playing(server, self.now));
+        (session.over, session.attempts, session.rung) = (true, 1, rung);
+        *self.seats.entry((call.title, call.class)).or_default() += 1;
+        self.sessions.insert(call.request, session);
+        self.book(server, (call.title, call.class, rung), 1, 1);
+    }
+
+    fn playing(&mut self, request: RequestId, server: ServerId) {
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        if s.state != State::Out(server) {
+            return;
+        }
+        s.state = State::Playing(server, self.now);
+        s.over = true;
+        let key = (s.call.title, s.call.class, s.rung);
+        self.book(server, key, 0, 1);
+        self.worked(server);
+    }
+
+    fn gone(&mut self, request: RequestId) {
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        s.over = true;
+        if s.state == State::Waiting {
+            self.sessions.remove(&request);
+        }
+    }
+
+    fn ended(&mut self, request: RequestId, attempt: u32, server: ServerId, outcome: Outcome, closed: bool) {
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        let played = matches!(s.state, State::Playing(..));
+        if attempt + 1 != s.attempts || s.state == State::Waiting {
+            return;
+        }
+        s.state = State::Waiting;
+        s.ran |= !outcome.never_ran();
+        s.over |= closed;
+        let (key, over) = ((s.call.title, s.call.class, s.rung), s.over);
+        if let Some(n) = self.seats.get_mut(&(key.0, key.1)) {
+            *n = n.saturating_sub(1);
+        }
+        self.book(server, key, -1, -i32::from(played));
+        match outcome {
+            Outcome::Error => self.failed(server, false, "errors"),
+            Outcome::ConnectFailed => self.failed(server, true, "no connection"),
+            Outcome::Reset => self.failed(server, true, "connection lost"),
+            Outcome::Timeout => self.failed(server, true, "no answer"),
+            Outcome::Full => self.fill(server),
+            _ => {
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.trial = false;
+                }
+            }
+        }
+        if over {
+            self.sessions.remove(&request);
+        } else {
+            self.waiting.push(request);
+        }
+    }
+
+    /// A set-up turned away as full: the link reads full.
+    fn fill(&mut self, server: ServerId) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.trial = false;
+        s.link.fill(now);
+    }
+
+    fn report(&mut self, server: ServerId, age: Duration, report: Report) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let cell = s.entry.cell;
+        if let Some(x) = report.link {
+            s.link.read(now, age, x);
+        }
+        if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
+            self.racks.entry(rack).or_default().meter.read(now, age, x);
+        }
+    }
+
+    fn note(&mut self, request: RequestId, server: ServerId, note: Note) {
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        // At set-up a reading is of about now; later ones are late.
+        let young = matches!(s.state, State::Playing(_, t) if self.now - t < self.set.told_late);
+        let age = if young { Duration::ZERO } else { self.set.told_late };
+        match note {
+            Note::Rung(rung) if rung != s.rung && rung < self.set.ladder.len() => {
+                let (old, playing) = (s.rung, i32::from(matches!(s.state, State::Playing(..))));
+                let (title, class) = (s.call.title, s.call.class);
+                s.rung = rung;
+                if s.state != State::Waiting {
+                    self.book(server, (title, class, old), -1, -playing);
+                    self.book(server, (title, class, rung), 1, playing);
+                }
+            }
+            Note::Rung(_) => {}
+            Note::Link(x) => self.report(server, age, Report { link: Some(x), rack: None }),
+            Note::Rack(x) => self.report(server, age, Report { link: None, rack: Some(x) }),
+            Note::Share(share) => self.share(server, share),
+        }
+    }
+
+    /// Sessions there got this share of their rates.
+    fn share(&mut self, server: ServerId, share: f64) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if share >= SHORT {
+            s.short_notes = 0;
+            return;
+        }
+        s.short_notes += 1;
+        let (cell, link, again) = (s.entry.cell, s.link.told, s.short_notes > 1);
+        let rack = self.rack_of(cell);
+        let told = rack.and_then(|r| self.racks.get(&r)).and_then(|r| r.meter.told);
+        // Which of the two is short: the fuller one; where the rack is not told, a link that is not full
+        // points to it.
+        let by_rack = rack.is_some() && link.is_some_and(|l| told.map_or(l < 1.0, |r| r > l));
+        if by_rack {
+            self.racks.entry(rack.expect("checked")).or_default().meter.fill(now);
+        } else {
+            self.servers.get_mut(&server).expect("looked up above").link.fill(now);
+        }
+        if again {
+            self.step_down(server, if by_rack { rack } else { None }, share);
+        }
+    }
+
+    /// A link that stays short: the own sessions there free what they take too much, those first that
+    /// lose least worth for each kB, each one rung and at most once in `STEP_GAP`.
+    fn step_down(&mut self, server: ServerId, rack: Option<u64>, share: f64) {
+        let now = self.now;
+        let there = |id: ServerId| match rack {
+            Some(r) => self.servers.get(&id).is_some_and(|s| self.rack_of(s.entry.cell) == Some(r)),
+            None => id == server,
+        };
+        let mut asked = 0.0;
+        let mut steps = Vec::new();
+        for (id, s) in &self.sessions {
+            let State::Playing(at, _) = s.state else { continue };
+            if !there(at) {
+                continue;
+            }
+            let class = &self.set.classes[s.call.class];
+            let rate = |rung: usize| self.set.ladder[rung].rate * class.scale;
+            asked += rate(s.rung);
+            if s.rung > class.floor && s.stepped.is_none_or(|t| t + STEP_GAP <= now) {
+                let (from, to) = (self.set.ladder[s.rung], self.set.ladder[s.rung - 1]);
+                let freed = rate(s.rung) - rate(s.rung - 1);
+                let loss = class.worth * (from.worth - to.worth) / freed.max(1e-9);
+                steps.push((loss, *id, at, freed));
+            }
+        }
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut excess = asked * (1.0 - share);
+        for (_, id, at, freed) in steps {
+            if excess <= 0.0 {
+                return;
+            }
+            excess -= freed;
+            let s = self.sessions.get_mut(&id).expect("listed above");
+            s.stepped = Some(now);
+            let (title, class, rung) = (s.call.title, s.call.class, s.rung);
+            self.set_rung(id, rung - 1);
+            self.book(at, (title, class, rung), -1, -1);
+            self.book(at, (title, class, rung - 1), 1, 1);
+        }
+    }
+}
+
+impl Server {
+    fn new(entry: Entry) -> Self {
+        Server {
+            entry,
+            groups: BTreeMap::new(),
+            link: Meter::default(),
+            rate: [0.0; 2],
+            cold_since: None,
+            lost: false,
+            sends: VecDeque::new(),
+            fails: 0,
+            rest_until: Duration::ZERO,
+            trial: false,
+            short_notes: 0,
+        }
+    }
+}
+
+impl Session {
+    fn new(call: Call, state: State) -> Self {
+        Session { call, state, rung: 0, attempts: 0, ran: false, over: false, stepped: None }
+    }
+}
+
+/// The marks of a class: full for the rung of most worth per kB and below, lower for each step above by
+/// how much less it earns for what it takes.
+fn marks(set: &Settings, class: &Class) -> Vec<f64> {
+    let mut best = 0.0f64;
+    let mut marks = Vec::new();
+    for (i, rung) in set.ladder.iter().enumerate() {
+        let below = if i <= class.floor { Rung::default() } else { set.ladder[i - 1] };
+        let density = (rung.worth - below.worth) / (rung.rate - below.rate).max(1e-9);
+        best = best.max(density);
+        let part = if best > 0.0 { (density / best).clamp(0.0, 1.0) } else { 1.0 };
+        marks.push(MARK * part.powf(STEP_POWER));
+    }
+    marks
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,297 @@
+//! The vocabulary between a session manager and [`crate::Brain`]: settings, events, actions.
+//!
+//! Data only. Times are [`Duration`]s on the caller's one forward-going clock; rates are kB a second.
+
+use std::time::Duration;
+
+/// A request as the caller names it; never used twice.
+pub type RequestId = u64;
+/// A media server; the same at every front.
+pub type ServerId = u64;
+/// A title; equal for equal titles.
+pub type TitleId = u64;
+
+/// What a front is told once, at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// How many fronts send into the fleet, this one included.
+    pub fronts: usize,
+    /// The classes of sessions, in the order their indices refer to.
+    pub classes: Vec<Class>,
+    /// The ladder of rates, lowest first.
+    pub ladder: Vec<Rung>,
+    /// The tenants, in the order their indices refer to.
+    pub tenants: Vec<Tenant>,
+    /// Worth of traffic past a tenant's share, as a part of the usual worth.
+    pub over_share_worth: f64,
+    /// Most streams of a server, by kind.
+    pub streams_by_kind: Vec<f64>,
+    /// Link of a server for each unit of its weight.
+    pub link_unit: f64,
+    /// Whether an entry's weight tells the server's size; else the kind's streams do.
+    pub weights_tell_size: bool,
+    /// Mean uplink of a rack.
+    pub rack_uplink: f64,
+    /// Number of cells; a title lies on a run of them. 0: every server holds every title.
+    pub cells: u64,
+    /// Number of racks; a server's rack is its cell modulo this. 0: no racks.
+    pub racks: u64,
+    /// What a further viewer of a live title adds, as a part of its rate; 1: nothing is shared.
+    pub join: f64,
+    /// A server turns set-ups away from this link use on; 0: never.
+    pub full_from: f64,
+    /// How late notes on playing sessions are.
+    pub told_late: Duration,
+    /// Time between link notes; zero: there are none.
+    pub told_every: Duration,
+    /// Shortest time between two calls of the module.
+    pub tick: Duration,
+    /// Points of worth lost for each point of rate missing.
+    pub stall_cost: f64,
+    /// What a rung change costs, in seconds of the session's worth.
+    pub switch_cost: Duration,
+    /// What a move costs, in sessions.
+    pub move_cost: f64,
+    /// What the caller permits.
+    pub limits: Limits,
+    /// The figures of the rules.
+    pub rules: Rules,
+    /// Whether list changes come unasked.
+    pub list_pushed: bool,
+}
+
+/// A class of sessions.
+#[derive(Clone, Debug, Default)]
+pub struct Class {
+    /// A set-up is wanted playing within this time.
+    pub aim: Duration,
+    /// Viewers wait at most so long.
+    pub deadline: Duration,
+    /// Whether a set-up may take effect once only.
+    pub at_most_once: bool,
+    /// Worth of one second at a rung of worth 1.
+    pub worth: f64,
+    /// The class's rates over those of the ladder.
+    pub scale: f64,
+    /// The lowest rung it may play at.
+    pub floor: usize,
+    /// The highest rung it may play at.
+    pub top: usize,
+    /// Whether its titles are live.
+    pub live: bool,
+    /// Sessions of one title that a front may hold; 0: no cap.
+    pub seats: usize,
+}
+
+/// One rung of the ladder.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rung {
+    /// Its rate, kB a second.
+    pub rate: f64,
+    /// What it earns, the top being 1.
+    pub worth: f64,
+}
+
+/// A tenant and its share.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tenant {
+    /// Requests a second within its share, over all fronts; 0: not told.
+    pub quota: f64,
+}
+
+/// What the caller permits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Limits {
+    /// Most attempts for one request.
+    pub attempts: u32,
+    /// Whether an attempt may be called off.
+    pub may_cancel: bool,
+    /// The longest hold-off that clients follow; zero: they take none.
+    pub hold_off: Duration,
+    /// After so long without a connection an attempt ends as `ConnectFailed`.
+    pub connect_timeout: Duration,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rules {
+    /// A server is warm at the latest so long after its start.
+    pub cold: Duration,
+    /// The part of its capacity at which it starts.
+    pub cold_from: f64,
+    /// A cold server falls over at this multiple of its present capacity...
+    pub fall_multiple: f64,
+    /// ...kept up over this span.
+    pub fall_span: Duration,
+    /// The ration of further attempts, where there is one.
+    pub ration: Option<Ration>,
+    /// Without a subscription, how often the list must be asked for (when it is not pushed).
+    pub ask_within: Duration,
+}
+
+/// A ration of further attempts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ration {
+    /// Attempts always allowed.
+    pub free: f64,
+    /// Attempts allowed for each request taken.
+    pub share: f64,
+    /// The span both are counted over.
+    pub span: Duration,
+}
+
+/// A request for a session.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Its id.
+    pub request: RequestId,
+    /// Its title.
+    pub title: TitleId,
+    /// Its class, by index.
+    pub class: usize,
+    /// Its tenant, by index.
+    pub tenant: Option<usize>,
+    /// The highest rung the viewer can use.
+    pub top: usize,
+    /// Where the title's cells begin.
+    pub first_cell: u64,
+    /// How many cells hold it.
+    pub cells: u64,
+    /// When the viewer stops waiting.
+    pub deadline: Duration,
+    /// Whether the viewer comes again.
+    pub again: bool,
+}
+
+/// State of a server in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// Takes new work.
+    Serving,
+    /// Finishes what it has.
+    Draining,
+    /// Is gone.
+    Gone,
+}
+
+/// One entry of the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// Which server.
+    pub server: ServerId,
+    /// Its cell.
+    pub cell: u64,
+    /// Its kind, by index.
+    pub kind: usize,
+    /// Its weight.
+    pub weight: f64,
+    /// Its state.
+    pub state: Listed,
+    /// When it last started; zero: long ago.
+    pub started: Duration,
+}
+
+/// How a piece of list news is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListMode {
+    /// Changed entries only.
+    Patch,
+    /// All entries; what is missing is gone.
+    Whole,
+    /// All entries as last known; may be old.
+    Stale,
+    /// An ask failed; the list stays as it was.
+    Broken,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// The server replied with an error.
+    Error,
+    /// Sent back unseen.
+    Full,
+    /// No answer in time.
+    Timeout,
+    /// No connection; never sent.
+    ConnectFailed,
+    /// The connection broke.
+    Reset,
+    /// Called off, or the viewer left.
+    Cancelled,
+    /// Never sent by the caller.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether the outcome proves that the set-up never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// A server's load report; absent values were not told.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    /// What is asked of its link over what the link gives.
+    pub link: Option<f64>,
+    /// The same for its rack's uplink.
+    pub rack: Option<f64>,
+}
+
+/// What a note on a session says.
+#[derive(Clone, Copy, Debug)]
+pub enum Note {
+    /// The share of their rates that sessions at this server got.
+    Share(f64),
+    /// The rung in force.
+    Rung(usize),
+    /// What is asked of the link over what it gives.
+    Link(f64),
+    /// The same for the rack's uplink.
+    Rack(f64),
+}
+
+/// What happens to a front. All events of one instant go into one call, in order of arrival.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the server list.
+    List(ListMode, Vec<Entry>),
+    /// A viewer wants a session.
+    Call(Call),
+    /// A session that plays already when the front starts.
+    Adopted(Call, ServerId),
+    /// An attempt's session plays.
+    Playing(RequestId, u32, ServerId, Duration),
+    /// News on a session.
+    Note(RequestId, ServerId, Note),
+    /// An attempt ended. The flag: the request is over too.
+    Ended(RequestId, u32, ServerId, Outcome, bool, Report),
+    /// The viewer is gone; nothing is owed any more.
+    Gone(RequestId),
+    /// A timer has come due.
+    Timer(u64),
+}
+
+/// What a front does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Try to set the session up there, for at most this time.
+    Send(RequestId, ServerId, Duration),
+    /// Set a session's rung.
+    Rung(RequestId, usize),
+    /// Final answer: not served, a new try does no harm; come back after this.
+    Refuse(RequestId, Duration),
+    /// Final answer: failed, may have run.
+    Fail(RequestId),
+    /// Take the playing session off its server; the viewer comes again.
+    Move(RequestId),
+    /// Call `Event::Timer` with this token after this time.
+    Timer(Duration, u64),
+    /// Subscribe to the list.
+    Subscribe,
+    /// One line for whoever is on call.
+    Log(String),
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,420 @@
+//! The drill's wire: JSON lines in, JSON lines out. Translation only; nothing is decided here.
+
+use crate::interface::*;
+use serde::{de::DeserializeOwned, Deserialize};
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What is wrong with a line.
+pub type Fault = String;
+
+fn span(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / 1e3).unwrap_or(Duration::MAX / 4)
+}
+
+fn millis(d: Duration) -> f64 {
+    d.as_micros() as f64 / 1e3
+}
+
+fn whole(v: f64) -> usize {
+    v.max(0.0) as usize
+}
+
+fn parse<T: DeserializeOwned>(value: Value) -> Result<T, Fault> {
+    serde_json::from_value(value).map_err(|e| e.to_string())
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireSetup {
+    #[serde(default)]
+    balancers: f64,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    domain: WireDomain,
+    #[serde(default)]
+    grades: Vec<WireGrade>,
+    #[serde(default)]
+    invariants: WireRules,
+    #[serde(default)]
+    kinds: Vec<String>,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    over_share_worth: f64,
+    #[serde(default)]
+    tariffs: WireTariffs,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+    #[serde(default)]
+    tick: f64,
+    #[serde(default)]
+    weights: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct WireDomain {
+    class_live: Vec<bool>,
+    class_top: Vec<f64>,
+    floor_by_class: Vec<f64>,
+    join: Option<f64>,
+    ladder_worth: Vec<f64>,
+    level_kb: Vec<f64>,
+    link_unit_kb: f64,
+    places: f64,
+    places_by_kind: Vec<f64>,
+    rack_link_kb: f64,
+    refuses_from: f64,
+    scale_by_class: Vec<f64>,
+    seats: Vec<f64>,
+    shelves: f64,
+    stall_cost: f64,
+    switch_s: f64,
+    told_every: f64,
+    told_late: f64,
+}
+
+#[derive(Deserialize)]
+struct WireGrade {
+    #[serde(default)]
+    aim: f64,
+    #[serde(default)]
+    deadline: f64,
+    #[serde(default)]
+    effect: String,
+    #[serde(default)]
+    importance: f64,
+    name: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct WireRules {
+    ask_within: f64,
+    budget_free: Option<f64>,
+    budget_span: Option<f64>,
+    cold: f64,
+    cold_from: f64,
+    extra_share: Option<f64>,
+    fall: f64,
+    fall_multiple: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct WireLimits {
+    connect_timeout: f64,
+    max_retry_after: f64,
+    may_cancel: bool,
+    most_tries: f64,
+    retry_after: bool,
+}
+
+#[derive(Deserialize, Default)]
+struct WireTariffs {
+    #[serde(default)]
+    moves: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireTenant {
+    name: String,
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireEntry {
+    server: u64,
+    #[serde(default)]
+    class_of_host: String,
+    #[serde(default)]
+    slot_no: u64,
+    mode: String,
+    nominal: Option<f64>,
+    boot_time: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireCall {
+    #[serde(rename = "ref")]
+    request: u64,
+    #[serde(default)]
+    programme: u64,
+    class: String,
+    project: Option<Value>,
+    top_rung: Option<f64>,
+    #[serde(default)]
+    from_cell: f64,
+    #[serde(default)]
+    cells_in_row: f64,
+    valid_until: f64,
+    #[serde(default)]
+    came_back: bool,
+    #[serde(default)]
+    repeat: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireTold {
+    #[serde(rename = "ref")]
+    request: u64,
+    #[serde(default)]
+    hop: u32,
+    server: u64,
+    #[serde(default)]
+    kind: u32,
+    #[serde(default)]
+    level: f64,
+    #[serde(default)]
+    how: String,
+    #[serde(default)]
+    cost_time: f64,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    gauge: BTreeMap<String, f64>,
+}
+
+/// The names that one instance's settings gave, to turn names into indices.
+#[derive(Default)]
+pub struct Names {
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    kinds: Vec<String>,
+}
+
+fn index_of(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+/// The fields of one message, its name taken out.
+pub struct Message {
+    /// The name of the message.
+    pub verb: String,
+    /// Its other fields.
+    pub fields: Map<String, Value>,
+}
+
+/// Reads one line as a message.
+pub fn message(line: &str) -> Result<Message, Fault> {
+    let value: Value = serde_json::from_str(line).map_err(|e| e.to_string())?;
+    let Value::Object(mut fields) = value else { return Err("not an object".into()) };
+    match fields.remove("verb") {
+        Some(Value::String(verb)) => Ok(Message { verb, fields }),
+        _ => Err("no key `verb` with a text".into()),
+    }
+}
+
+impl Message {
+    /// Takes a field out; it must be there.
+    pub fn take<T: DeserializeOwned>(&mut self, key: &str) -> Result<T, Fault> {
+        let value = self.fields.remove(key).ok_or_else(|| format!("{}: no `{key}`", self.verb))?;
+        serde_json::from_value(value).map_err(|e| format!("{}: `{key}`: {e}", self.verb))
+    }
+
+    fn body<T: DeserializeOwned>(self) -> Result<T, Fault> {
+        let verb = self.verb;
+        parse(Value::Object(self.fields)).map_err(|e| format!("{verb}: {e}"))
+    }
+}
+
+/// The clock of a `begin-batch`.
+pub fn clock(mut m: Message) -> Result<Duration, Fault> {
+    Ok(span(m.take("clock")?))
+}
+
+/// The seed and settings of a `power-on`.
+pub fn power_on(mut m: Message) -> Result<(u64, Settings, Names), Fault> {
+    let seed = m.take("prng")?;
+    let w: WireSetup = parse(m.take("setup")?).map_err(|e| format!("power-on: {e}"))?;
+    let d = w.domain;
+    let at = |list: &[f64], i: usize| list.get(i).copied();
+    let highest = d.level_kb.len().saturating_sub(1);
+    let class = |(i, g): (usize, &WireGrade)| Class {
+        aim: span(g.aim),
+        deadline: span(g.deadline),
+        at_most_once: g.effect != "idempotent",
+        worth: g.importance,
+        scale: at(&d.scale_by_class, i).unwrap_or(1.0),
+        floor: at(&d.floor_by_class, i).map_or(0, whole),
+        top: at(&d.class_top, i).map_or(highest, whole),
+        live: d.class_live.get(i).copied().unwrap_or(false),
+        seats: at(&d.seats, i).map_or(0, whole),
+    };
+    let rungs = d.level_kb.iter().enumerate();
+    let r = w.invariants;
+    let settings = Settings {
+        fronts: whole(w.balancers),
+        classes: w.grades.iter().enumerate().map(class).collect(),
+        ladder: rungs.map(|(i, &rate)| Rung { rate, worth: at(&d.ladder_worth, i).unwrap_or(0.0) }).collect(),
+        tenants: w.tenants.iter().map(|t| Tenant { quota: t.quota_per_s }).collect(),
+        over_share_worth: w.over_share_worth,
+        streams_by_kind: d.places_by_kind,
+        link_unit: d.link_unit_kb,
+        weights_tell_size: w.weights != "none",
+        rack_uplink: d.rack_link_kb,
+        cells: whole(d.places) as u64,
+        racks: whole(d.shelves) as u64,
+        join: d.join.unwrap_or(1.0),
+        full_from: d.refuses_from,
+        told_late: span(d.told_late),
+        told_every: span(d.told_every),
+        tick: span(w.tick),
+        stall_cost: d.stall_cost,
+        switch_cost: Duration::try_from_secs_f64(d.switch_s.max(0.0)).unwrap_or_default(),
+        move_cost: w.tariffs.moves,
+        limits: Limits {
+            attempts: whole(w.limits.most_tries) as u32,
+            may_cancel: w.limits.may_cancel,
+            hold_off: if w.limits.retry_after { span(w.limits.max_retry_after) } else { Duration::ZERO },
+            connect_timeout: span(w.limits.connect_timeout),
+        },
+        rules: Rules {
+            cold: span(r.cold),
+            cold_from: r.cold_from,
+            fall_multiple: r.fall_multiple,
+            fall_span: span(r.fall),
+            ration: r.budget_span.map(|s| Ration {
+                free: r.budget_free.unwrap_or(0.0),
+                share: r.extra_share.unwrap_or(0.0),
+                span: span(s),
+            }),
+            ask_within: span(r.ask_within),
+        },
+        list_pushed: w.discovery != "on_request",
+    };
+    let names = Names {
+        classes: w.grades.into_iter().map(|g| g.name).collect(),
+        tenants: w.tenants.into_iter().map(|t| t.name).collect(),
+        kinds: w.kinds,
+    };
+    Ok((seed, settings, names))
+}
+
+/// The number and raw entries of a `pool`; entries are read per instance by [`entries`].
+pub fn pool(mut m: Message) -> Result<(u64, Value), Fault> {
+    Ok((m.take("page")?, m.take("hosts")?))
+}
+
+/// The entries of a pool under an instance's names.
+pub fn entries(hosts: &Value, names: &Names) -> Result<Vec<Entry>, Fault> {
+    let list: Vec<WireEntry> = parse(hosts.clone()).map_err(|e| format!("pool: {e}"))?;
+    let state = |mode: &str| match mode {
+        "SERVING" => Ok(Listed::Serving),
+        "DRAINING" => Ok(Listed::Draining),
+        "DELETED" => Ok(Listed::Gone),
+        other => Err(format!("pool: unknown mode `{other}`")),
+    };
+    list.into_iter()
+        .map(|e| {
+            Ok(Entry {
+                server: e.server,
+                cell: e.slot_no,
+                kind: index_of(&names.kinds, &e.class_of_host).unwrap_or(0),
+                weight: e.nominal.unwrap_or(1.0),
+                state: state(&e.mode)?,
+                started: span(e.boot_time.unwrap_or(0.0)),
+            })
+        })
+        .collect()
+}
+
+/// The mode and pool number of a `membership`.
+pub fn membership(mut m: Message) -> Result<(ListMode, Option<u64>), Fault> {
+    let mode = match m.take::<String>("mode")?.as_str() {
+        "patch" => ListMode::Patch,
+        "whole" => ListMode::Whole,
+        "stale_copy" => ListMode::Stale,
+        "broken" => return Ok((ListMode::Broken, None)),
+        other => return Err(format!("membership: unknown mode `{other}`")),
+    };
+    Ok((mode, Some(m.take("page")?)))
+}
+
+fn call(w: WireCall, names: &Names) -> Result<Call, Fault> {
+    let class = index_of(&names.classes, &w.class).ok_or_else(|| format!("unknown class `{}`", w.class))?;
+    Ok(Call {
+        request: w.request,
+        title: w.programme,
+        class,
+        tenant: w.project.as_ref().and_then(Value::as_str).and_then(|p| index_of(&names.tenants, p)),
+        top: w.top_rung.map_or(usize::MAX, whole),
+        first_cell: whole(w.from_cell) as u64,
+        cells: whole(w.cells_in_row) as u64,
+        deadline: span(w.valid_until),
+        again: w.came_back || w.repeat,
+    })
+}
+
+/// An event of one instance; `None` for one that the module has no use for.
+pub fn event(mut m: Message, names: &Names) -> Result<Option<Event>, Fault> {
+    Ok(Some(match m.verb.as_str() {
+        "call" => Event::Call(call(m.body()?, names)?),
+        "adopted" => {
+            let server = m.take("server")?;
+            Event::Adopted(call(m.body()?, names)?, server)
+        }
+        "head-received" => {
+            let t: WireTold = m.body()?;
+            Event::Playing(t.request, t.hop, t.server, span(t.cost_time))
+        }
+        "note" => {
+            let t: WireTold = m.body()?;
+            let note = match t.kind {
+                1 => Note::Share(t.level),
+                2 => Note::Rung(whole(t.level)),
+                3 => Note::Link(t.level),
+                4 => Note::Rack(t.level),
+                _ => return Ok(None),
+            };
+            Event::Note(t.request, t.server, note)
+        }
+        "attempt-end" => {
+            let t: WireTold = m.body()?;
+            let outcome = match t.how.as_str() {
+                "ok" => Outcome::Ok,
+                "error" => Outcome::Error,
+                "full" => Outcome::Full,
+                "timeout" => Outcome::Timeout,
+                "connect_failed" => Outcome::ConnectFailed,
+                "reset" => Outcome::Reset,
+                "cancelled" => Outcome::Cancelled,
+                "moot" => Outcome::Moot,
+                other => return Err(format!("attempt-end: unknown outcome `{other}`")),
+            };
+            let told = |name: &str| t.gauge.get(name).copied();
+            let report = Report { link: told("x0").or(told("load_share")), rack: told("x1") };
+            Event::Ended(t.request, t.hop, t.server, outcome, t.complete, report)
+        }
+        "cancelled-by-client" => Event::Gone(m.take("ref")?),
+        "ring" => Event::Timer(m.take("token")?),
+        "health" | "datagram" => return Ok(None),
+        other => return Err(format!("unknown verb `{other}`")),
+    }))
+}
+
+/// An action as a line of the wire.
+pub fn action(instance: &str, action: &Action) -> String {
+    let mut value = match action {
+        Action::Send(r, s, within) => {
+            json!({"verb": "pass-on", "ref": r, "server": s, "within": millis(*within)})
+        }
+        Action::Rung(r, rung) => json!({"verb": "step-to", "ref": r, "tier-no": rung}),
+        Action::Refuse(r, after) => json!({"verb": "refuse", "ref": r, "hold-off": millis(*after)}),
+        Action::Fail(r) => json!({"verb": "finish-error", "ref": r}),
+        Action::Move(r) => json!({"verb": "rebalance", "ref": r}),
+        Action::Timer(after, token) => json!({"verb": "arm", "sleep-for": millis(*after), "token": token}),
+        Action::Subscribe => json!({"verb": "listen", "enable": true}),
+        Action::Log(words) => json!({"verb": "trace", "words": words}),
+    };
+    value["manager-id"] = instance.into();
+    value.to_string()
+}
