Blame a rack only when all its used servers run short; wait for a step to show

Cause: flapping servers' short notes were booked to their racks (x1 untold), and each of seven servers' second notes stepped the whole rack down. Others ruled out: link readings of the other servers stayed near 0.3 and their shares had no notes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,8 @@
 const TRY_PART: f64 = 0.5;
 /// Span over which a tenant's traffic is averaged.
 const TENANT_SPAN: f64 = 5.0;
+/// Time between notes of short delivery (the wire's own).
+const NOTE_GAP: Duration = Duration::from_secs(1);
 /// The timer token for asking for the list again.
 const ASK_AGAIN: u64 = 1;
 
@@ -55,6 +57,8 @@
     base: Fading,
     /// The newest reading, as it was told.
     told: Option<f64>,
+    /// When sessions were last stepped down for it.
+    stepped: Duration,
 }
 
 impl Meter {
@@ -105,8 +109,9 @@
     rest_until: Duration,
     /// An attempt that shows whether it is back is out.
     trial: bool,
-    /// Short notes in a row.
-    short_notes: u32,
+    /// The last note of a share delivered, and since when it is short.
+    share: Option<(Duration, f64)>,
+    short_since: Option<Duration>,
 }
 
 /// What is known of one rack.
@@ -684,25 +689,42 @@
     fn share(&mut self, server: ServerId, share: f64) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
+        s.share = Some((now, share));
         if share >= SHORT {
-            s.short_notes = 0;
+            s.short_since = None;
             return;
         }
-        s.short_notes += 1;
-        let (cell, link, again) = (s.entry.cell, s.link.told, s.short_notes > 1);
-        let rack = self.rack_of(cell);
-        let told = rack.and_then(|r| self.racks.get(&r)).and_then(|r| r.meter.told);
-        // Which of the two is short: the fuller one; where the rack is not told, a link that is not full
-        // points to it.
-        let by_rack = rack.is_some() && link.is_some_and(|l| told.map_or(l < 1.0, |r| r > l));
-        if by_rack {
-            self.racks.entry(rack.expect("checked")).or_default().meter.fill(now);
-        } else {
-            self.servers.get_mut(&server).expect("looked up above").link.fill(now);
+        let since = *s.short_since.get_or_insert(now);
+        let cell = s.entry.cell;
+        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r));
+        let meter = match rack {
+            Some(r) => &mut self.racks.entry(r).or_default().meter,
+            None => &mut self.servers.get_mut(&server).expect("looked up above").link,
+        };
+        meter.fill(now);
+        // Notes are late and all servers of a rack send them: what was done shows only after a while.
+        if since + NOTE_GAP / 2 < now && meter.stepped + NOTE_GAP + self.set.told_late <= now {
+            meter.stepped = now;
+            self.step_down(server, rack, share);
         }
-        if again {
-            self.step_down(server, if by_rack { rack } else { None }, share);
+    }
+
+    /// Whether it is the rack that is short: then every server there with own sessions is.
+    ///
+    /// Guards against one sick server (silent, slow, flapping link) that makes its rack look full, by
+    /// which the front would refuse half its fleet. It errs while only one server there is in use.
+    fn rack_short(&self, rack: u64) -> bool {
+        let told = self.racks.get(&rack).and_then(|r| r.meter.told);
+        let (mut short, mut fine) = (0, 0);
+        for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
+            let in_use = s.rate[1] > 0.0 && s.link.own_at(self.now.saturating_sub(self.set.told_late)) > 0.0;
+            match s.share {
+                Some((t, share)) if share < SHORT && t + NOTE_GAP * 2 > self.now => short += 1,
+                _ if in_use => fine += 1,
+                _ => {}
+            }
         }
+        short > fine * 4 && (short > 1 || told.is_some_and(|x| x >= 1.0))
     }
 
     /// A link that stays short: the own sessions there free what they take too much, those first that
@@ -760,7 +782,8 @@
             fails: 0,
             rest_until: Duration::ZERO,
             trial: false,
-            short_notes: 0,
+            share: None,
+            short_since: None,
         }
     }
 }
