--- a/src/brain.rs
+++ b/src/brain.rs
@@ -119,8 +119,8 @@
 struct Rack {
     uplink: f64,
     meter: Meter,
-    /// Rated links of its cells.
-    cells: BTreeMap<u64, f64>,
+    /// Its cells: rated link and server.
+    cells: BTreeMap<u64, (f64, ServerId)>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -242,6 +242,17 @@
         self.set.link_unit * if mean > 0.0 { streams(e.kind) / mean } else { 1.0 }
     }
 
+    /// Use of an uplink: its page, or where readings of it are not told what its links are read to ask.
+    fn rack_used(&self, r: &Rack) -> f64 {
+        let page = r.meter.used(self.now);
+        if r.meter.told.is_some() {
+            return page;
+        }
+        let asked = r.cells.values().map(|(_, id)| &self.servers[id]);
+        let asked: f64 = asked.map(|s| s.link.used(self.now).clamp(0.0, 1.0) * self.link_size(s)).sum();
+        page.max(asked / r.uplink.max(1e-9))
+    }
+
     fn rack_of(&self, cell: u64) -> Option<u64> {
         (self.set.racks > 0 && self.set.rack_uplink > 0.0).then(|| cell % self.set.racks.max(1))
     }
@@ -339,17 +350,16 @@
 
     /// Uplinks: the told mean, given to the racks by the rated links of their cells.
     fn size_racks(&mut self) {
-        let links: Vec<_> =
-            self.servers.values().map(|s| (s.entry.cell, self.rated_link(&s.entry))).collect();
-        for (cell, link) in links {
+        let links = self.servers.iter().map(|(id, s)| (s.entry.cell, (self.rated_link(&s.entry), *id)));
+        for (cell, link) in links.collect::<Vec<_>>() {
             if let Some(rack) = self.rack_of(cell) {
                 self.racks.entry(rack).or_default().cells.insert(cell, link);
             }
         }
-        let all: f64 = self.racks.values().flat_map(|r| r.cells.values()).sum();
+        let all: f64 = self.racks.values().flat_map(|r| r.cells.values()).map(|c| c.0).sum();
         let mean = all / self.racks.len().max(1) as f64;
         for r in self.racks.values_mut() {
-            let own: f64 = r.cells.values().sum();
+            let own: f64 = r.cells.values().map(|c| c.0).sum();
             r.uplink = self.set.rack_uplink * if mean > 0.0 { own / mean } else { 1.0 };
         }
     }
@@ -435,7 +445,7 @@
         for (id, s) in self.servers.iter().filter(|(_, s)| self.usable(call, s)) {
             let link = s.link.used(now);
             let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
-            let rack = rack.map_or((0.0, f64::INFINITY), |r| (r.meter.used(now), r.uplink));
+            let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), r.uplink));
             rooms.push((link.max(rack.0), *id, link, rack));
         }
         self.rng.shuffle(&mut rooms); // ties at random
