--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,9 @@
     /// What the own playing sessions ask, with its recent past: reports are late.
     playing: VecDeque<(Duration, f64)>,
     base: Fading,
+    /// What short delivery adds over what is read: a later reading of a link that comes and goes does
+    /// not clear it.
+    short: Fading,
     /// The newest reading, as it was told.
     told: Option<f64>,
     /// When sessions were last stepped down for it.
@@ -63,7 +66,7 @@
 
 impl Meter {
     fn used(&self, now: Duration) -> f64 {
-        self.booked + self.base.at(now)
+        self.booked + self.base.at(now).max(self.short.at(now))
     }
 
     fn record(&mut self, now: Duration, playing: f64, keep: Duration) {
@@ -87,7 +90,7 @@
 
     /// Short delivery: the page reads full from now on, fading.
     fn fill(&mut self, now: Duration) {
-        self.base = Fading((1.0 - self.booked).max(self.base.at(now)), now);
+        self.short = Fading(1.0 - self.booked, now);
     }
 }
 
@@ -248,8 +251,17 @@
         if r.meter.told.is_some() {
             return page;
         }
-        let asked = r.cells.values().map(|(_, id)| &self.servers[id]);
-        let asked: f64 = asked.map(|s| s.link.used(self.now).clamp(0.0, 1.0) * self.link_size(s)).sum();
+        let asked = r.cells.values().map(|(_, id)| {
+            let s = &self.servers[id];
+            // A short link's reading tells of what it gives, not of what is asked: the fronts are taken
+            // to be alike.
+            let used = match s.short_since {
+                Some(_) => s.link.booked * self.set.fronts as f64,
+                None => s.link.booked + s.link.base.at(self.now),
+            };
+            used.clamp(0.0, 1.0) * self.link_size(s)
+        });
+        let asked: f64 = asked.sum();
         page.max(asked / r.uplink.max(1e-9))
     }
 
