--- a/src/brain.rs
+++ b/src/brain.rs
@@ -479,12 +479,17 @@
         None
     }
 
-    /// Expected worth of a tenant's next session: its traffic past its share is worth little.
+    /// Expected worth of a tenant's next session, beside that of the best tenant's: traffic past a share is
+    /// worth little, but room is not kept for what does not come.
     fn tenant_worth(&self, tenant: Option<usize>) -> f64 {
-        let Some(i) = tenant else { return 1.0 };
-        let quota = self.set.tenants[i].quota / self.set.fronts.max(1) as f64;
-        let within = if quota > 0.0 { (quota / self.traffic[i].rate.max(1e-9)).min(1.0) } else { 1.0 };
-        within + (1.0 - within) * self.set.over_share_worth
+        let worth = |i: usize| {
+            let quota = self.set.tenants[i].quota / self.set.fronts.max(1) as f64;
+            let within = if quota > 0.0 { (quota / self.traffic[i].rate.max(1e-9)).min(1.0) } else { 1.0 };
+            within + (1.0 - within) * self.set.over_share_worth
+        };
+        let best =
+            (0..self.traffic.len()).filter(|i| self.traffic[*i].rate > 0.0).map(worth).fold(0.0, f64::max);
+        tenant.map_or(1.0, |i| (worth(i) / best.max(1e-9)).min(1.0))
     }
 
     fn take(&mut self, call: &Call) -> bool {
