--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 /// An attempt gets this part of the class's aim, so that a second one can still meet the aim.
 const TRY_PART: f64 = 0.5;
 /// Span over which a tenant's traffic is averaged.
-const TENANT_SPAN: f64 = 5.0;
+const TENANT_SPAN: f64 = 20.0;
 /// Time between notes of short delivery (the wire's own).
 const NOTE_GAP: Duration = Duration::from_secs(1);
 /// The timer token for asking for the list again.
