--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,8 +55,6 @@
     /// What the own playing sessions ask, with its recent past: reports are late.
     playing: VecDeque<(Duration, f64)>,
     base: Fading,
-    /// What the own sessions asked when it was read.
-    own_read: f64,
     /// What short delivery adds over what is read: a later reading of a link that comes and goes does
     /// not clear it.
     short: Fading,
@@ -67,12 +65,8 @@
 }
 
 impl Meter {
-    /// Use as the ledger sees it: own bookings, the base, and what the other fronts will have booked since
-    /// the base was read, taking them to have done as this one did.
-    fn used(&self, now: Duration, others: f64) -> f64 {
-        let since = (self.booked - self.own_read).max(0.0) * (self.base.at(now) / self.base.0).max(0.0);
-        let since = if since.is_finite() { since } else { 0.0 };
-        self.booked + (self.base.at(now) + others * since).max(self.short.at(now))
+    fn used(&self, now: Duration) -> f64 {
+        self.booked + self.base.at(now).max(self.short.at(now))
     }
 
     fn record(&mut self, now: Duration, playing: f64, keep: Duration) {
@@ -91,8 +85,7 @@
     /// A reading taken `age` ago: the base is what the own sessions of that time don't explain.
     fn read(&mut self, now: Duration, age: Duration, reading: f64) {
         self.told = Some(reading);
-        self.own_read = self.own_at(now.saturating_sub(age));
-        self.base = Fading(reading - self.own_read, now);
+        self.base = Fading(reading - self.own_at(now.saturating_sub(age)), now);
     }
 
     /// Short delivery: the page reads full from now on, fading.
@@ -254,7 +247,7 @@
 
     /// Use of an uplink: its page, or where readings of it are not told what its links are read to ask.
     fn rack_used(&self, r: &Rack) -> f64 {
-        let page = r.meter.used(self.now, self.others());
+        let page = r.meter.used(self.now);
         if r.meter.told.is_some() {
             return page;
         }
@@ -272,11 +265,6 @@
         page.max(asked / r.uplink.max(1e-9))
     }
 
-    /// How many other fronts there are.
-    fn others(&self) -> f64 {
-        self.set.fronts.saturating_sub(1) as f64
-    }
-
     fn rack_of(&self, cell: u64) -> Option<u64> {
         (self.set.racks > 0 && self.set.rack_uplink > 0.0).then(|| cell % self.set.racks.max(1))
     }
@@ -467,7 +455,7 @@
         let now = self.now;
         let mut rooms = Vec::new();
         for (id, s) in self.servers.iter().filter(|(_, s)| self.usable(call, s)) {
-            let link = s.link.used(now, self.others());
+            let link = s.link.used(now);
             let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
             let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), r.uplink));
             rooms.push((link.max(rack.0), *id, link, rack));
