Adopted sessions get the rung an admission would give them

Change: once for each, on a link reading, within the own part of the room (all fronts hear it at once); links and uplinks not read yet are taken to carry of the other fronts what they carry of this one.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,13 +38,18 @@
     d.as_secs_f64()
 }
 
+/// What is left by now of a value of that time.
+fn faded(now: Duration, then: Duration) -> f64 {
+    (1.0 - secs(now.saturating_sub(then)) / secs(FADE)).max(0.0)
+}
+
 /// A value that fades to zero over `FADE`.
 #[derive(Clone, Copy, Default)]
 struct Fading(f64, Duration);
 
 impl Fading {
     fn at(self, now: Duration) -> f64 {
-        self.0 * (1.0 - secs(now.saturating_sub(self.1)) / secs(FADE)).max(0.0)
+        self.0 * faded(now, self.1)
     }
 }
 
@@ -54,7 +59,10 @@
     booked: f64,
     /// What the own playing sessions ask, with its recent past: reports are late.
     playing: VecDeque<(Duration, f64)>,
-    base: Fading,
+    base: f64,
+    /// When it was read, and what the own sessions asked at the time that it speaks of.
+    read_at: Option<Duration>,
+    own_read: f64,
     /// What short delivery adds over what is read: a later reading of a link that comes and goes does
     /// not clear it.
     short: Fading,
@@ -65,8 +73,12 @@
 }
 
 impl Meter {
-    fn used(&self, now: Duration) -> f64 {
-        self.booked + self.base.at(now).max(self.short.at(now))
+    /// Use as the ledger sees it: own bookings, the base, and what the other fronts will have booked since
+    /// the base was read, taking them to do as this one does. Before any reading that is all that is known.
+    fn used(&self, now: Duration, others: f64) -> f64 {
+        let fade = self.read_at.map_or(1.0, |t| faded(now, t));
+        let since = others * (self.booked - self.own_read).max(0.0);
+        self.booked + ((self.base + since) * fade).max(self.short.at(now))
     }
 
     fn record(&mut self, now: Duration, playing: f64, keep: Duration) {
@@ -85,7 +97,9 @@
     /// A reading taken `age` ago: the base is what the own sessions of that time don't explain.
     fn read(&mut self, now: Duration, age: Duration, reading: f64) {
         self.told = Some(reading);
-        self.base = Fading(reading - self.own_at(now.saturating_sub(age)), now);
+        self.read_at = Some(now);
+        self.own_read = self.own_at(now.saturating_sub(age));
+        self.base = reading - self.own_read;
     }
 
     /// Short delivery: the page reads full from now on, fading.
@@ -144,6 +158,8 @@
     /// Nothing is owed any more.
     over: bool,
     stepped: Option<Duration>,
+    /// It was adopted and its rung not chosen by this front.
+    adopted: bool,
 }
 
 /// A tenant's recent traffic.
@@ -169,6 +185,8 @@
     taken: VecDeque<Duration>,
     extra: VecDeque<Duration>,
     waiting: Vec<RequestId>,
+    /// Servers whose links were read in this instant.
+    read: Vec<ServerId>,
     /// For each class and rung: the mark of the ledger up to which it is given.
     marks: Vec<Vec<f64>>,
 }
@@ -191,6 +209,7 @@
             taken: VecDeque::new(),
             extra: VecDeque::new(),
             waiting: Vec::new(),
+            read: Vec::new(),
             marks,
         }
     }
@@ -224,6 +243,9 @@
         for request in std::mem::take(&mut self.waiting).into_iter().chain(calls) {
             self.place(request);
         }
+        for server in std::mem::take(&mut self.read) {
+            self.raise(server);
+        }
         std::mem::take(&mut self.out)
     }
 
@@ -247,7 +269,7 @@
 
     /// Use of an uplink: its page, or where readings of it are not told what its links are read to ask.
     fn rack_used(&self, r: &Rack) -> f64 {
-        let page = r.meter.used(self.now);
+        let page = r.meter.used(self.now, self.others());
         if r.meter.told.is_some() {
             return page;
         }
@@ -257,7 +279,7 @@
             // to be alike.
             let used = match s.short_since {
                 Some(_) => s.link.booked * self.set.fronts as f64,
-                None => s.link.booked + s.link.base.at(self.now),
+                None => s.link.used(self.now, self.others()),
             };
             used.clamp(0.0, 1.0) * self.link_size(s)
         });
@@ -265,6 +287,11 @@
         page.max(asked / r.uplink.max(1e-9))
     }
 
+    /// How many other fronts there are.
+    fn others(&self) -> f64 {
+        self.set.fronts.saturating_sub(1) as f64
+    }
+
     fn rack_of(&self, cell: u64) -> Option<u64> {
         (self.set.racks > 0 && self.set.rack_uplink > 0.0).then(|| cell % self.set.racks.max(1))
     }
@@ -452,31 +479,59 @@
         if class.floor > top {
             return None;
         }
-        let now = self.now;
         let mut rooms = Vec::new();
         for (id, s) in self.servers.iter().filter(|(_, s)| self.usable(call, s)) {
-            let link = s.link.used(now);
-            let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
-            let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), r.uplink));
+            let (link, rack) = self.use_of(s);
             rooms.push((link.max(rack.0), *id, link, rack));
         }
         self.rng.shuffle(&mut rooms); // ties at random
         rooms.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let worth = self.tenant_worth(call.tenant).powf(STEP_POWER);
-        for (_, id, link, rack) in rooms {
-            let s = &self.servers[&id];
-            for rung in (class.floor..=top).rev() {
-                let n = s.groups.get(&(call.title, call.class, rung)).map_or(0, |g| g[0]);
-                let cost =
-                    self.group_cost(s, call.class, rung, n + 1) - self.group_cost(s, call.class, rung, n);
-                let rate = self.group_rate(call.class, rung, n + 1) - self.group_rate(call.class, rung, n);
-                let mark = self.marks[call.class][rung] * worth;
-                if link + cost <= mark && rack.0 + rate / rack.1 <= mark {
-                    return Some((id, rung));
-                }
-            }
+        rooms.into_iter().find_map(|(_, id, link, rack)| {
+            let fits = |rung: &usize| self.fits(call, *rung, &self.servers[&id], link, rack, 1.0);
+            (class.floor..=top).rev().find(fits).map(|rung| (id, rung))
+        })
+    }
+
+    /// Whether a session more at that rung stays under its mark on the link and on the uplink.
+    fn fits(&self, call: &Call, rung: usize, s: &Server, link: f64, rack: (f64, f64), times: f64) -> bool {
+        let n = s.groups.get(&(call.title, call.class, rung)).map_or(0, |g| g[0]);
+        let cost = self.group_cost(s, call.class, rung, n + 1) - self.group_cost(s, call.class, rung, n);
+        let rate = self.group_rate(call.class, rung, n + 1) - self.group_rate(call.class, rung, n);
+        let mark = self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(STEP_POWER);
+        link + times * cost <= mark && rack.0 + times * rate / rack.1 <= mark
+    }
+
+    /// Use of a server's link, and use and size of its rack's uplink.
+    fn use_of(&self, s: &Server) -> (f64, (f64, f64)) {
+        let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
+        let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), r.uplink));
+        (s.link.used(self.now, self.others()), rack)
+    }
+
+    /// Adopted sessions get the rung that an admission would have given them: a predecessor or the set-up's
+    /// default chose theirs. Once for each, on a reading of the link, and within the own part of the room,
+    /// since every front hears of it in the same instant.
+    fn raise(&mut self, server: ServerId) {
+        let ids = self.sessions.iter().filter(|(_, s)| s.adopted && s.at() == Some(server));
+        let mut ids: Vec<_> = ids.map(|(id, s)| (self.set.classes[s.call.class].worth, *id)).collect();
+        ids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, id) in ids {
+            let (s, at) = (&self.sessions[&id], &self.servers[&server]);
+            let class = &self.set.classes[s.call.class];
+            let (call, old, top) =
+                (s.call.clone(), s.rung, s.call.top.min(class.top).min(self.set.ladder.len() - 1));
+            let (link, rack) = self.use_of(at);
+            let key = (call.title, call.class, old);
+            let own = (self.group_cost(at, call.class, old, 1), self.group_rate(call.class, old, 1) / rack.1);
+            let fronts = self.others() + 1.0;
+            let base = (link - own.0 * fronts, (rack.0 - own.1 * fronts, rack.1));
+            let fits = |rung: &usize| self.fits(&call, *rung, at, base.0, base.1, fronts);
+            let Some(rung) = (old + 1..=top).rev().find(fits) else { continue };
+            self.sessions.get_mut(&id).expect("listed above").adopted = false;
+            self.set_rung(id, rung);
+            self.book(server, key, -1, -1);
+            self.book(server, (key.0, key.1, rung), 1, 1);
         }
-        None
     }
 
     /// Expected worth of a tenant's next session, beside that of the best tenant's: traffic past a share is
@@ -611,7 +666,7 @@
             return;
         }
         let mut session = Session::new(call.clone(), State::Playing(server, self.now));
-        (session.over, session.attempts, session.rung) = (true, 1, rung);
+        (session.over, session.attempts, session.rung, session.adopted) = (true, 1, rung, true);
         *self.seats.entry((call.title, call.class)).or_default() += 1;
         self.sessions.insert(call.request, session);
         self.book(server, (call.title, call.class, rung), 1, 1);
@@ -706,7 +761,10 @@
                 }
             }
             Note::Rung(_) => {}
-            Note::Link(x) => self.report(server, age, Report { link: Some(x), rack: None }),
+            Note::Link(x) => {
+                self.read.push(server);
+                self.report(server, age, Report { link: Some(x), rack: None })
+            }
             Note::Rack(x) => self.report(server, age, Report { link: None, rack: Some(x) }),
             Note::Share(share) => self.share(server, share),
         }
@@ -816,8 +874,16 @@
 }
 
 impl Session {
+    /// The server that it plays at.
+    fn at(&self) -> Option<ServerId> {
+        match self.state {
+            State::Playing(server, _) => Some(server),
+            _ => None,
+        }
+    }
+
     fn new(call: Call, state: State) -> Self {
-        Session { call, state, rung: 0, attempts: 0, ran: false, over: false, stepped: None }
+        Session { call, state, rung: 0, attempts: 0, ran: false, over: false, stepped: None, adopted: false }
     }
 }
 
