--- a/src/brain.rs
+++ b/src/brain.rs
@@ -781,7 +781,8 @@
         }
         let since = *s.short_since.get_or_insert(now);
         let cell = s.entry.cell;
-        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r));
+        let link = s.link.told.unwrap_or(0.0);
+        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
         let meter = match rack {
             Some(r) => &mut self.racks.entry(r).or_default().meter,
             None => &mut self.servers.get_mut(&server).expect("looked up above").link,
@@ -798,7 +799,7 @@
     ///
     /// Guards against one sick server (silent, slow, flapping link) that makes its rack look full, by
     /// which the front would refuse half its fleet. It errs while only one server there is in use.
-    fn rack_short(&self, rack: u64) -> bool {
+    fn rack_short(&self, rack: u64, link: f64) -> bool {
         let told = self.racks.get(&rack).and_then(|r| r.meter.told);
         let (mut short, mut fine) = (0, 0);
         for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
@@ -809,7 +810,7 @@
                 _ => {}
             }
         }
-        short > fine * 4 && (short > 1 || told.is_some_and(|x| x >= 1.0))
+        told.map_or(short > 1 && link < 1.0, |x| x > link) && short > fine * 4
     }
 
     /// A link that stays short: the own sessions there free what they take too much, those first that
