--- a/src/brain.rs
+++ b/src/brain.rs
@@ -129,6 +129,7 @@
     /// The last note of a share delivered, and since when it is short.
     share: Option<(Duration, f64)>,
     short_since: Option<Duration>,
+    short_before: Option<Duration>,
 }
 
 /// What is known of one rack.
@@ -776,7 +777,13 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.share = Some((now, share));
         if share >= SHORT {
-            s.short_since = None;
+            // Over: a first shortage is forgotten, one of a link that comes and goes fades.
+            if let Some(since) = s.short_since.take() {
+                if s.short_before.is_none_or(|t| t + FADE < since) {
+                    s.link.short = Fading::default();
+                }
+                s.short_before = Some(now);
+            }
             return;
         }
         let since = *s.short_since.get_or_insert(now);
@@ -870,6 +877,7 @@
             trial: false,
             share: None,
             short_since: None,
+            short_before: None,
         }
     }
 }
