--- a/src/brain.rs
+++ b/src/brain.rs
@@ -707,11 +707,13 @@
             *n = n.saturating_sub(1);
         }
         self.book(server, key, -1, -i32::from(played));
+        // One late answer may be a jam; a second before anything worked is silence.
+        let silent = self.servers.get(&server).is_some_and(|s| s.fails > 0);
         match outcome {
             Outcome::Error => self.failed(server, false, "errors"),
             Outcome::ConnectFailed => self.failed(server, true, "no connection"),
             Outcome::Reset => self.failed(server, true, "connection lost"),
-            Outcome::Timeout => self.failed(server, true, "no answer"),
+            Outcome::Timeout => self.failed(server, silent, "no answer"),
             Outcome::Full => self.fill(server),
             _ => {
                 if let Some(s) = self.servers.get_mut(&server) {
