--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,8 +103,8 @@
     }
 
     /// Short delivery: the page reads full from now on, fading.
-    fn fill(&mut self, now: Duration) {
-        self.short = Fading(1.0 - self.booked, now);
+    fn fill(&mut self, now: Duration, asked: f64) {
+        self.short = Fading(asked - self.booked, now);
     }
 }
 
@@ -733,7 +733,7 @@
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.trial = false;
-        s.link.fill(now);
+        s.link.fill(now, 1.0);
     }
 
     fn report(&mut self, server: ServerId, age: Duration, report: Report) {
@@ -796,7 +796,7 @@
             Some(r) => &mut self.racks.entry(r).or_default().meter,
             None => &mut self.servers.get_mut(&server).expect("looked up above").link,
         };
-        meter.fill(now);
+        meter.fill(now, 1.0 / share.max(0.01));
         // Notes are late and all servers of a rack send them: what was done shows only after a while.
         if since + NOTE_GAP / 2 < now && meter.stepped + NOTE_GAP + self.set.told_late <= now {
             meter.stepped = now;
