--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,7 +17,9 @@
 /// Delivered share under which a link counts as short (the wire's own bound for notes of it).
 const SHORT: f64 = 0.98;
 /// How much lower the mark of a step of lesser worth per kB is: the mark goes with this power of it.
-const STEP_POWER: f64 = 0.25;
+const STEP_POWER: f64 = 0.15;
+/// The same for a tenant past its share; weaker, for the room kept may find no better use.
+const TENANT_POWER: f64 = 0.1;
 /// Usual age of a load report that comes without one: about half of a usual refresh and the way.
 const REPORT_AGE: Duration = Duration::from_millis(500);
 /// First rest of a server after a failure, doubled for each further one...
@@ -103,8 +105,8 @@
     }
 
     /// Short delivery: the page reads full from now on, fading.
-    fn fill(&mut self, now: Duration, asked: f64) {
-        self.short = Fading(asked - self.booked, now);
+    fn fill(&mut self, now: Duration) {
+        self.short = Fading(1.0 - self.booked, now);
     }
 }
 
@@ -498,7 +500,7 @@
         let n = s.groups.get(&(call.title, call.class, rung)).map_or(0, |g| g[0]);
         let cost = self.group_cost(s, call.class, rung, n + 1) - self.group_cost(s, call.class, rung, n);
         let rate = self.group_rate(call.class, rung, n + 1) - self.group_rate(call.class, rung, n);
-        let mark = self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(STEP_POWER);
+        let mark = self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(TENANT_POWER);
         link + times * cost <= mark && rack.0 + times * rate / rack.1 <= mark
     }
 
@@ -733,7 +735,7 @@
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.trial = false;
-        s.link.fill(now, 1.0);
+        s.link.fill(now);
     }
 
     fn report(&mut self, server: ServerId, age: Duration, report: Report) {
@@ -796,7 +798,7 @@
             Some(r) => &mut self.racks.entry(r).or_default().meter,
             None => &mut self.servers.get_mut(&server).expect("looked up above").link,
         };
-        meter.fill(now, 1.0 / share.max(0.01));
+        meter.fill(now);
         // Notes are late and all servers of a rack send them: what was done shows only after a while.
         if since + NOTE_GAP / 2 < now && meter.stepped + NOTE_GAP + self.set.told_late <= now {
             meter.stepped = now;
