--- a/src/brain.rs
+++ b/src/brain.rs
@@ -420,7 +420,7 @@
         let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
         let per_s = r.fall_multiple * streams / secs(r.cold).max(1e-9) * r.cold_from;
         let share = per_s * secs(r.fall_span) / self.set.fronts.max(1) as f64;
-        let window = secs(r.fall_span) / share.min(1.0).max(1e-9);
+        let window = secs(r.fall_span) / share.clamp(1e-9, 1.0);
         let recent = s.sends.iter().filter(|t| secs(self.now - **t) < window).count();
         ((recent + 1) as f64) <= share.max(1.0)
     }
--- /dev/null
+++ b/tests/brain.rs
@@ -0,0 +1,521 @@
+//! The module through its public interface: the rules, and one small test for each failure found.
+
+use cloverhollow::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const START: Duration = Duration::from_secs(1000);
+
+/// Four servers in two racks; class 0 is paid for at set-up, class 1 is not.
+fn settings() -> Settings {
+    let class = |at_most_once, seats, floor| Class {
+        aim: ms(1000),
+        deadline: ms(3000),
+        at_most_once,
+        worth: 1.0,
+        scale: 1.0,
+        floor,
+        top: 2,
+        live: false,
+        seats,
+    };
+    Settings {
+        fronts: 1,
+        classes: vec![class(true, 2, 0), class(false, 0, 0), class(false, 0, 1)],
+        ladder: vec![
+            Rung { rate: 200.0, worth: 0.3 },
+            Rung { rate: 500.0, worth: 0.7 },
+            Rung { rate: 1000.0, worth: 1.0 },
+        ],
+        streams_by_kind: vec![20.0],
+        link_unit: 4000.0,
+        rack_uplink: 6000.0,
+        cells: 4,
+        racks: 2,
+        join: 1.0,
+        told_late: ms(1000),
+        told_every: ms(3000),
+        tick: ms(10),
+        limits: Limits { attempts: 3, may_cancel: true, hold_off: ms(800), connect_timeout: ms(250) },
+        rules: Rules {
+            cold: ms(10_000),
+            cold_from: 0.4,
+            fall_multiple: 2.0,
+            fall_span: ms(1000),
+            ration: None,
+            ask_within: ms(10_000),
+        },
+        list_pushed: true,
+        ..Settings::default()
+    }
+}
+
+fn entry(server: ServerId) -> Entry {
+    Entry { server, cell: server, kind: 0, weight: 1.0, state: Listed::Serving, started: Duration::ZERO }
+}
+
+fn whole(servers: u64) -> Event {
+    Event::List(ListMode::Stale, (0..servers).map(entry).collect())
+}
+
+fn call(request: RequestId, class: usize, now: Duration) -> Call {
+    let deadline = now + ms(3000);
+    Call { request, title: 7, class, top: 2, cells: 4, deadline, ..Call::default() }
+}
+
+fn sends(actions: &[Action]) -> Vec<(RequestId, ServerId)> {
+    let send = |a: &Action| match a {
+        Action::Send(r, s, _) => Some((*r, *s)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn ended(request: RequestId, attempt: u32, server: ServerId, outcome: Outcome) -> Event {
+    Event::Ended(request, attempt, server, outcome, false, Report::default())
+}
+
+/// A front with `n` servers that has answered nothing yet.
+fn front(set: Settings, n: u64) -> Brain {
+    let mut brain = Brain::new(set, 1);
+    brain.step(START, &[whole(n)]);
+    brain
+}
+
+/// Sets one session up and lets it play; returns its server.
+fn play(brain: &mut Brain, request: RequestId, class: usize, now: Duration) -> ServerId {
+    let server = sends(&brain.step(now, &[Event::Call(call(request, class, now))]))[0].1;
+    brain.step(now + ms(100), &[Event::Playing(request, 0, server, ms(100))]);
+    server
+}
+
+#[test]
+fn the_highest_fitting_rung_then_lower_ones_then_refusal_at_once() {
+    let mut brain = front(settings(), 1);
+    let mut rungs = Vec::new();
+    for r in 0..40 {
+        let actions = brain.step(START + ms(r), &[Event::Call(call(r, 1, START))]);
+        match actions[..] {
+            [Action::Rung(_, rung), Action::Send(..)] => rungs.push(rung),
+            [Action::Refuse(id, after)] => {
+                assert_eq!((id, after), (r, ms(800)));
+                break;
+            }
+            _ => panic!("{actions:?}"),
+        }
+    }
+    assert_eq!(rungs[0], 2);
+    assert_eq!(*rungs.last().unwrap(), 0);
+    assert!(rungs.is_sorted_by(|a, b| a >= b), "{rungs:?}");
+    let rate: f64 = rungs.iter().map(|r| settings().ladder[*r].rate).sum();
+    assert!(rate <= 0.95 * 4000.0 && rate > 0.85 * 4000.0, "{rate}");
+}
+
+#[test]
+fn the_pick_is_the_holder_with_most_room_on_link_and_rack() {
+    let mut brain = front(settings(), 4);
+    let first = play(&mut brain, 1, 1, START);
+    // Its rack mate shares the uplink: the other rack has more room.
+    let second = play(&mut brain, 2, 1, START + ms(200));
+    assert_ne!(first % 2, second % 2);
+    // Only holders count: cell 3 alone.
+    let only = Call { first_cell: 3, cells: 1, ..call(3, 1, START + ms(400)) };
+    assert_eq!(sends(&brain.step(START + ms(400), &[Event::Call(only)])), [(3, 3)]);
+}
+
+#[test]
+fn ends_are_credited_before_calls_of_the_same_instant() {
+    let mut brain = front(settings(), 1);
+    let mut r = 0;
+    while !sends(&brain.step(START, &[Event::Call(call(r, 1, START))])).is_empty() {
+        r += 1;
+    }
+    let end = Event::Ended(0, 0, 0, Outcome::Ok, true, Report::default());
+    // The call comes first in the batch and still finds the room.
+    let actions = brain.step(START + ms(10), &[Event::Call(call(99, 1, START)), end]);
+    assert_eq!(sends(&actions), [(99, 0)]);
+}
+
+#[test]
+fn a_reading_moves_the_base_up_and_down_and_fades() {
+    let mut brain = front(settings(), 1);
+    let server = play(&mut brain, 1, 1, START);
+    let full = Event::Note(1, server, Note::Link(1.2));
+    let refused = brain.step(START + ms(2000), &[full, Event::Call(call(2, 1, START + ms(2000)))]);
+    assert_eq!(refused, [Action::Refuse(2, ms(800))]);
+    let t = START + ms(28_000); // most of it has faded
+    assert_eq!(sends(&brain.step(t, &[Event::Call(call(3, 1, t))])).len(), 1);
+    let mut brain = front(settings(), 1);
+    let server = play(&mut brain, 1, 1, START);
+    brain.step(START + ms(2000), &[Event::Note(1, server, Note::Link(1.2))]);
+    let t = START + ms(5000);
+    let empty = Event::Note(1, server, Note::Link(0.25));
+    assert_eq!(sends(&brain.step(t, &[empty, Event::Call(call(2, 1, t))])).len(), 1);
+}
+
+#[test]
+fn a_reading_is_compared_with_the_bookings_of_its_time() {
+    let mut brain = front(settings(), 1);
+    let server = play(&mut brain, 1, 1, START);
+    // A second session starts; a reading of a second ago (0.25: the first alone) comes 500 ms later.
+    let t = START + ms(5000);
+    play(&mut brain, 2, 1, t);
+    let t = t + ms(600);
+    let late = Event::Note(1, server, Note::Link(0.25));
+    let actions = brain.step(t, &[late, Event::Call(call(3, 1, t))]);
+    // Base 0, own 0.5: the top rung (0.25 more) fits its mark only if the ledger did not go down.
+    let rung = actions.iter().find_map(|a| if let Action::Rung(3, r) = a { Some(*r) } else { None });
+    assert_eq!(rung, Some(2));
+    let t = t + ms(10);
+    let actions = brain.step(t, &[Event::Call(call(4, 1, t))]);
+    let rung = actions.iter().find_map(|a| if let Action::Rung(4, r) = a { Some(*r) } else { None });
+    assert!(rung < Some(2), "a base set below the truth would let a fourth top rung in");
+}
+
+#[test]
+fn a_paid_set_up_that_may_have_run_is_failed_never_resent_or_refused() {
+    for outcome in [Outcome::Timeout, Outcome::Error, Outcome::Reset, Outcome::Cancelled] {
+        let mut brain = front(settings(), 4);
+        let server = sends(&brain.step(START, &[Event::Call(call(1, 0, START))]))[0].1;
+        let actions = brain.step(START + ms(50), &[ended(1, 0, server, outcome)]);
+        let answers: Vec<_> = actions.iter().filter(|a| !matches!(a, Action::Log(_))).collect();
+        assert_eq!(answers, [&Action::Fail(1)], "{outcome:?}");
+    }
+    for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot] {
+        let mut brain = front(settings(), 4);
+        let server = sends(&brain.step(START, &[Event::Call(call(1, 0, START))]))[0].1;
+        let actions = brain.step(START + ms(50), &[ended(1, 0, server, outcome)]);
+        assert_eq!(sends(&actions).len(), 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn attempts_stay_within_their_number_and_then_the_answer_comes_at_once() {
+    let mut brain = front(settings(), 4);
+    let mut server = sends(&brain.step(START, &[Event::Call(call(1, 1, START))]))[0].1;
+    for attempt in 0..3 {
+        let actions = brain.step(START + ms(50), &[ended(1, attempt, server, Outcome::Error)]);
+        match sends(&actions)[..] {
+            [(1, next)] if attempt < 2 => {
+                assert_ne!(next, server, "a server that just failed rests");
+                server = next;
+            }
+            [] if attempt == 2 => assert!(actions.contains(&Action::Refuse(1, ms(800)))),
+            _ => panic!("attempt {attempt}: {actions:?}"),
+        }
+    }
+}
+
+#[test]
+fn further_attempts_stay_within_the_ration() {
+    let mut set = settings();
+    set.rules.ration = Some(Ration { free: 1.0, share: 0.2, span: ms(10_000) });
+    let mut brain = front(set, 4);
+    let mut further = 0;
+    for r in 0..10 {
+        let server = sends(&brain.step(START, &[Event::Call(call(r, 1, START))]))[0].1;
+        let actions = brain.step(START, &[ended(r, 0, server, Outcome::Moot)]);
+        further += sends(&actions).len();
+        assert!(further as f64 <= 1.0 + 0.2 * (r + 1) as f64);
+    }
+    assert_eq!(further, 3);
+}
+
+#[test]
+fn nothing_goes_to_draining_gone_or_unlisted_servers() {
+    for state in [Listed::Draining, Listed::Gone] {
+        let mut brain = front(settings(), 2);
+        let news = Event::List(ListMode::Patch, vec![Entry { state, ..entry(0) }]);
+        // Told in the same instant, after the call.
+        let mut events: Vec<_> = (0..6).map(|r| Event::Call(call(r, 1, START))).collect();
+        events.push(news);
+        assert!(sends(&brain.step(START, &events)).iter().all(|s| s.1 == 1));
+    }
+    let mut brain = front(settings(), 2);
+    let t = START + ms(10);
+    let whole = Event::List(ListMode::Whole, vec![entry(1)]);
+    let actions = brain.step(t, &[whole, Event::Call(call(1, 1, t)), Event::Call(call(2, 1, t))]);
+    assert!(sends(&actions).iter().all(|s| s.1 == 1));
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_this_fronts_share() {
+    let mut set = settings();
+    set.fronts = 2;
+    let mut brain = Brain::new(set, 1);
+    let cold = Entry { started: START - ms(100), ..entry(0) };
+    brain.step(START, &[Event::List(ListMode::Stale, vec![cold])]);
+    // 2 x 20 streams / 10 s x 0.4 warm = 1.6 a second over both fronts, 0.8 for this one.
+    let mut sent = Vec::new();
+    for k in 0..500 {
+        let t = START + ms(10 * k);
+        let ends: Vec<_> = sent.last().map(|r| ended(*r, 0, 0, Outcome::Moot)).into_iter().collect();
+        let mut events = ends;
+        events.push(Event::Call(call(k, 1, t)));
+        sent.extend(sends(&brain.step(t, &events)).iter().map(|s| s.0));
+    }
+    assert!((2..=5).contains(&sent.len()), "{} sends in 5 s", sent.len());
+}
+
+#[test]
+fn a_server_seen_to_fail_is_cold_when_it_is_back_listed_or_not() {
+    let mut brain = front(settings(), 1);
+    play(&mut brain, 1, 1, START);
+    let reset = Event::Ended(1, 0, 0, Outcome::Reset, true, Report::default());
+    brain.step(START + ms(1000), &[reset]);
+    let t = START + ms(6000);
+    let burst: Vec<_> = (10..30).map(|r| Event::Call(call(r, 1, t))).collect();
+    let first = sends(&brain.step(t, &burst));
+    assert_eq!(first.len(), 1, "one set-up shows whether it is back");
+    brain.step(t + ms(100), &[Event::Playing(first[0].0, 0, 0, ms(100))]);
+    let t = t + ms(200);
+    let burst: Vec<_> = (30..50).map(|r| Event::Call(call(r, 1, t))).collect();
+    assert!(sends(&brain.step(t, &burst)).len() <= 1);
+}
+
+#[test]
+fn seats_count_adopted_sessions_and_those_in_set_up() {
+    let mut brain = front(settings(), 4);
+    brain.step(START, &[Event::Adopted(call(1, 0, START), 0)]);
+    let actions = brain.step(START + ms(1), &[2, 3].map(|r| Event::Call(call(r, 0, START))));
+    assert_eq!(sends(&actions).len(), 1);
+    assert!(actions.contains(&Action::Refuse(3, ms(800))));
+}
+
+#[test]
+fn a_floor_above_the_viewers_top_is_refused_and_floors_hold_under_pressure() {
+    let mut brain = front(settings(), 1);
+    let small = Call { top: 0, ..call(1, 2, START) };
+    assert_eq!(brain.step(START, &[Event::Call(small)]), [Action::Refuse(1, ms(800))]);
+    let calls: Vec<_> = (2..30).map(|r| Event::Call(call(r, 2, START))).collect();
+    let actions = brain.step(START, &calls);
+    let low = actions.iter().any(|a| matches!(a, Action::Rung(_, 0)));
+    assert!(!low && actions.iter().any(|a| matches!(a, Action::Rung(_, 1))));
+}
+
+/// Incident i05b4e6: sick servers made their racks look full and half the fleet was refused.
+#[test]
+fn one_short_server_does_not_fill_its_rack() {
+    let mut brain = front(settings(), 4);
+    let a = play(&mut brain, 1, 1, START);
+    let one = |r, cell| Call { first_cell: cell, cells: 1, ..call(r, 1, START) };
+    let mate = (a + 2) % 4;
+    brain.step(START + ms(200), &[Event::Call(one(2, mate))]);
+    brain.step(START + ms(300), &[Event::Playing(2, 0, mate, ms(100))]);
+    for k in 0..4 {
+        brain.step(START + ms(3000 + 1000 * k), &[Event::Note(1, a, Note::Share(0.5))]);
+    }
+    let t = START + ms(6100);
+    let actions = brain.step(t, &[Event::Call(Call { deadline: t + ms(3000), ..one(3, mate) })]);
+    assert_eq!(sends(&actions), [(3, mate)]);
+    let actions = brain.step(t, &[Event::Call(Call { deadline: t + ms(3000), ..one(4, a) })]);
+    assert!(sends(&actions).is_empty(), "the short one itself reads full");
+}
+
+#[test]
+fn a_link_that_stays_short_steps_sessions_down_once_in_thirty_seconds() {
+    let mut brain = front(settings(), 1);
+    play(&mut brain, 1, 1, START);
+    let mut steps = Vec::new();
+    for k in 0..40 {
+        let t = START + ms(2000 + 1000 * k);
+        let actions =
+            brain.step(t, &[Event::Note(1, 0, Note::Share(0.7)), Event::Note(1, 0, Note::Link(1.4))]);
+        steps.extend(actions.iter().filter(|a| matches!(a, Action::Rung(1, _))).map(|_| t));
+    }
+    assert_eq!(steps.len(), 2);
+    assert!(steps[1] - steps[0] >= ms(30_000));
+}
+
+/// The first days: handed-over sessions stayed on the floor for all their lives.
+#[test]
+fn an_adopted_session_gets_the_rung_an_admission_would_give_once() {
+    let mut brain = front(settings(), 1);
+    let note = |x| Event::Note(1, 0, Note::Link(x));
+    brain.step(START, &[Event::Adopted(call(1, 1, START), 0), Event::Note(1, 0, Note::Rung(0))]);
+    assert_eq!(brain.step(START + ms(1500), &[note(0.97)]), [], "no room");
+    assert_eq!(brain.step(START + ms(4500), &[note(0.05)]), [Action::Rung(1, 2)]);
+    assert_eq!(brain.step(START + ms(7500), &[note(0.25)]), []);
+}
+
+#[test]
+fn a_tenants_small_screens_and_settings_without_sense_do_no_harm() {
+    for set in [
+        Settings::default(),
+        Settings { ladder: vec![], ..settings() },
+        Settings { link_unit: 0.0, ..settings() },
+    ] {
+        let mut brain = front(set, 2);
+        let t = START + ms(5);
+        let adopted = Event::Adopted(call(8, 0, t), 1);
+        let actions = brain.step(t, &[adopted, Event::Call(Call { tenant: Some(9), ..call(1, 1, t) })]);
+        assert_eq!(actions.iter().filter(|a| matches!(a, Action::Refuse(1, _))).count(), 1, "{actions:?}");
+    }
+    let mut brain = Brain::new(settings(), 1);
+    assert_eq!(brain.step(START, &[Event::Call(call(1, 1, START))]), [Action::Refuse(1, ms(800))]);
+}
+
+#[test]
+fn events_for_what_is_over_or_unknown_are_ignored() {
+    let mut brain = front(settings(), 2);
+    let stray = [
+        ended(77, 0, 1, Outcome::Timeout),
+        Event::Playing(77, 0, 1, ms(5)),
+        Event::Note(77, 1, Note::Share(0.1)),
+        Event::Gone(77),
+        Event::Timer(99),
+        Event::Ended(77, 3, 999, Outcome::Ok, true, Report { link: Some(2.0), rack: Some(2.0) }),
+    ];
+    assert_eq!(brain.step(START, &stray), []);
+    let gone = [Event::Call(call(1, 1, START)), Event::Gone(1)];
+    assert_eq!(brain.step(START, &gone), [], "no answer is owed to one who left in the same instant");
+}
+
+/// The rules over odd but legal event orders, with fixed seeds.
+#[test]
+fn the_rules_hold_over_odd_event_orders() {
+    let sent: usize = (0..60).map(odd_day).sum();
+    assert!(sent > 60 * 30, "the days exercise the front: {sent} requests sent");
+}
+
+/// A world that answers sends with whatever is legal, and checks each action against the rules.
+fn odd_day(seed: u64) -> usize {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut set = settings();
+    set.fronts = rng.usize(1..4);
+    set.join = if rng.bool() { 1.0 } else { 0.2 };
+    set.classes[1].live = rng.bool();
+    set.cells = 4;
+    set.rules.ration = rng.bool().then_some(Ration { free: 2.0, share: 0.2, span: ms(5000) });
+    let mut brain = Brain::new(set.clone(), seed);
+    let mut twin = Brain::new(set.clone(), seed);
+    let (mut now, mut next) = (START, 0u64);
+    let mut listed = BTreeMap::new();
+    let mut owed: BTreeMap<RequestId, Call> = BTreeMap::new();
+    let mut may_have_run = BTreeSet::new();
+    let mut tries: BTreeMap<RequestId, u32> = BTreeMap::new();
+    let mut out: BTreeMap<RequestId, ServerId> = BTreeMap::new(); // in set-up
+    let mut on: BTreeMap<RequestId, (ServerId, Call)> = BTreeMap::new(); // playing
+    let (mut taken, mut extra) = (Vec::new(), Vec::new());
+    let mut calls: BTreeMap<RequestId, Call> = BTreeMap::new();
+    let mut events = vec![whole(4)];
+    listed.extend((0..4).map(|s| (s, Listed::Serving)));
+    for _ in 0..400 {
+        now += ms(rng.u64(1..400));
+        for _ in 0..rng.usize(0..4) {
+            next += 1;
+            let c = Call {
+                title: rng.u64(0..3),
+                top: rng.usize(0..5),
+                first_cell: rng.u64(0..4),
+                cells: rng.u64(1..5),
+                ..call(next, rng.usize(0..3), now)
+            };
+            taken.push(now);
+            owed.insert(next, c.clone());
+            calls.insert(next, c.clone());
+            events.push(Event::Call(c));
+        }
+        if rng.u8(0..20) == 0 {
+            let state = [Listed::Draining, Listed::Gone, Listed::Serving][rng.usize(0..6).min(2)];
+            let started = if rng.bool() { now } else { Duration::ZERO };
+            let e = Entry { state, started, ..entry(rng.u64(0..4)) };
+            listed.insert(e.server, state);
+            events.push(Event::List(ListMode::Patch, vec![e]));
+        }
+        for (r, s) in out.clone() {
+            let deadline = calls[&r].deadline;
+            let hop = tries[&r] - 1;
+            let outcome = match rng.u8(0..24) {
+                _ if now > deadline => Outcome::Timeout,
+                0 => Outcome::Error,
+                1 => Outcome::Full,
+                2 => Outcome::ConnectFailed,
+                3 => Outcome::Reset,
+                4 => Outcome::Timeout,
+                5..=18 => {
+                    out.remove(&r);
+                    owed.remove(&r);
+                    on.insert(r, (s, calls[&r].clone()));
+                    events.push(Event::Playing(r, hop, s, ms(50)));
+                    continue;
+                }
+                _ => continue,
+            };
+            out.remove(&r);
+            if !outcome.never_ran() {
+                may_have_run.insert(r);
+            }
+            let report = Report { link: Some(rng.f64() * 2.0), rack: rng.bool().then(|| rng.f64()) };
+            events.push(Event::Ended(r, hop, s, outcome, false, report));
+        }
+        for (r, (s, _)) in on.clone() {
+            let note = match rng.u8(0..30) {
+                0 => Note::Share(rng.f64()),
+                1 => Note::Link(rng.f64() * 1.5),
+                2 => Note::Rack(rng.f64() * 2.0),
+                3 => {
+                    on.remove(&r);
+                    let how = if rng.bool() { Outcome::Ok } else { Outcome::Reset };
+                    events.push(Event::Ended(r, tries[&r] - 1, s, how, true, Report::default()));
+                    continue;
+                }
+                _ => continue,
+            };
+            events.push(Event::Note(r, s, note));
+        }
+        let actions = brain.step(now, &events);
+        assert_eq!(actions, twin.step(now, &events), "same events and seed, same actions");
+        events.clear();
+        for a in &actions {
+            match a {
+                Action::Send(r, s, within) => {
+                    let c = owed.get(r).expect("sent for one that is owed nothing");
+                    assert!(!out.contains_key(r), "two attempts out");
+                    assert_eq!(listed[s], Listed::Serving);
+                    assert!((s + 4 - c.first_cell) % 4 < c.cells, "no holder");
+                    assert!(*within > Duration::ZERO && now + *within <= c.deadline);
+                    let paid = set.classes[c.class].at_most_once;
+                    assert!(!(paid && may_have_run.contains(r)), "a paid set-up sent again");
+                    let n = tries.entry(*r).or_default();
+                    *n += 1;
+                    assert!(*n <= set.limits.attempts);
+                    if let (Some(ration), true) = (set.rules.ration, *n > 1) {
+                        extra.push(now);
+                        let recent =
+                            |l: &[Duration]| l.iter().filter(|t| **t + ration.span > now).count() as f64;
+                        assert!(recent(&extra) <= ration.free + ration.share * recent(&taken));
+                    }
+                    out.insert(*r, *s);
+                    let seats = set.classes[c.class].seats;
+                    let same = |o: &Call| o.class == c.class && o.title == c.title;
+                    let held = out.keys().filter(|r| same(&calls[r])).count()
+                        + on.values().filter(|(_, o)| same(o)).count();
+                    assert!(seats == 0 || held <= seats, "seats");
+                }
+                Action::Rung(r, rung) => {
+                    let c = &calls[r];
+                    let class = &set.classes[c.class];
+                    assert!(*rung >= class.floor && *rung <= class.top.min(c.top), "terms");
+                }
+                Action::Refuse(r, _) => {
+                    let c = owed.remove(r).expect("answered twice");
+                    assert!(!out.contains_key(r));
+                    assert!(!(set.classes[c.class].at_most_once && may_have_run.contains(r)));
+                }
+                Action::Fail(r) => {
+                    owed.remove(r).expect("answered twice");
+                    assert!(!out.contains_key(r));
+                }
+                _ => {}
+            }
+        }
+        // What is not out has its answer: nothing is held back.
+        assert!(owed.keys().all(|r| out.contains_key(r)), "a request was held back");
+    }
+    tries.len()
+}
