Untold uplinks are sized by what was asked and the share of it that came

Told from a sick server: all its servers read the same share at once, links at 0.5. Also takes back the clearing of a first shortage (noise).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -131,13 +131,14 @@
     /// The last note of a share delivered, and since when it is short.
     share: Option<(Duration, f64)>,
     short_since: Option<Duration>,
-    short_before: Option<Duration>,
 }
 
 /// What is known of one rack.
 #[derive(Default)]
 struct Rack {
     uplink: f64,
+    /// The part of it that short delivery showed to be missing.
+    missing: Fading,
     meter: Meter,
     /// Its cells: rated link and server.
     cells: BTreeMap<u64, (f64, ServerId)>,
@@ -276,18 +277,26 @@
         if r.meter.told.is_some() {
             return page;
         }
+        page.max(self.rack_asked(r) / self.uplink(r))
+    }
+
+    /// Size of an uplink now: as told, less what short delivery showed to be missing.
+    fn uplink(&self, r: &Rack) -> f64 {
+        (r.uplink * (1.0 - r.missing.at(self.now))).max(1e-9)
+    }
+
+    /// What the links of a rack are read to ask of its uplink.
+    fn rack_asked(&self, r: &Rack) -> f64 {
         let asked = r.cells.values().map(|(_, id)| {
             let s = &self.servers[id];
+            let used = s.link.used(self.now, self.others());
             // A short link's reading tells of what it gives, not of what is asked: the fronts are taken
             // to be alike.
-            let used = match s.short_since {
-                Some(_) => s.link.booked * self.set.fronts as f64,
-                None => s.link.used(self.now, self.others()),
-            };
+            let sick = s.short_since.is_some() && used >= 1.0;
+            let used = if sick { s.link.booked * self.set.fronts as f64 } else { used };
             used.clamp(0.0, 1.0) * self.link_size(s)
         });
-        let asked: f64 = asked.sum();
-        page.max(asked / r.uplink.max(1e-9))
+        asked.sum()
     }
 
     /// How many other fronts there are.
@@ -507,7 +516,7 @@
     /// Use of a server's link, and use and size of its rack's uplink.
     fn use_of(&self, s: &Server) -> (f64, (f64, f64)) {
         let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
-        let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), r.uplink));
+        let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), self.uplink(r)));
         (s.link.used(self.now, self.others()), rack)
     }
 
@@ -781,19 +790,20 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.share = Some((now, share));
         if share >= SHORT {
-            // Over: a first shortage is forgotten, one of a link that comes and goes fades.
-            if let Some(since) = s.short_since.take() {
-                if s.short_before.is_none_or(|t| t + FADE < since) {
-                    s.link.short = Fading::default();
-                }
-                s.short_before = Some(now);
-            }
+            s.short_since = None;
             return;
         }
         let since = *s.short_since.get_or_insert(now);
         let cell = s.entry.cell;
         let link = s.link.told.unwrap_or(0.0);
         let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
+        if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.told.is_none()) {
+            // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
+            // that came tell the size. Also catches one that sags; errs if the links' readings are old.
+            let size = self.rack_asked(r) * share;
+            let missing = Fading((1.0 - size / r.uplink.max(1e-9)).clamp(0.0, 0.9), now);
+            self.racks.get_mut(&rack.expect("just read")).expect("just read").missing = missing;
+        }
         let meter = match rack {
             Some(r) => &mut self.racks.entry(r).or_default().meter,
             None => &mut self.servers.get_mut(&server).expect("looked up above").link,
@@ -881,7 +891,6 @@
             trial: false,
             share: None,
             short_since: None,
-            short_before: None,
         }
     }
 }
