--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,6 +32,8 @@
 const TENANT_SPAN: f64 = 20.0;
 /// Time between notes of short delivery (the wire's own).
 const NOTE_GAP: Duration = Duration::from_secs(1);
+/// Shares within this of each other may come from one shortage (notes are smoothed and not of one instant).
+const ALIKE: f64 = 0.1;
 /// The timer token for asking for the list again.
 const ASK_AGAIN: u64 = 1;
 
@@ -796,7 +798,7 @@
         let since = *s.short_since.get_or_insert(now);
         let cell = s.entry.cell;
         let link = s.link.told.unwrap_or(0.0);
-        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
+        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link, share));
         if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.told.is_none()) {
             // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
             // that came tell the size. Also catches one that sags; errs if the links' readings are old.
@@ -820,18 +822,20 @@
     ///
     /// Guards against one sick server (silent, slow, flapping link) that makes its rack look full, by
     /// which the front would refuse half its fleet. It errs while only one server there is in use.
-    fn rack_short(&self, rack: u64, link: f64) -> bool {
+    fn rack_short(&self, rack: u64, link: f64, seen: f64) -> bool {
         let told = self.racks.get(&rack).and_then(|r| r.meter.told);
         let (mut short, mut fine) = (0, 0);
         for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
             let in_use = s.rate[1] > 0.0 && s.link.own_at(self.now.saturating_sub(self.set.told_late)) > 0.0;
             match s.share {
-                Some((t, share)) if share < SHORT && t + NOTE_GAP * 2 > self.now => short += 1,
+                Some((t, share)) if share < SHORT && share < seen + ALIKE && t + NOTE_GAP * 2 > self.now => {
+                    short += 1
+                }
                 _ if in_use => fine += 1,
                 _ => {}
             }
         }
-        told.map_or(short > 1 && link < 1.0, |x| x > link) && short > fine * 4
+        told.map_or(short > 2 && link < 1.0, |x| x > link) && short > fine * 4
     }
 
     /// A link that stays short: the own sessions there free what they take too much, those first that
