--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,8 +32,6 @@
 const TENANT_SPAN: f64 = 20.0;
 /// Time between notes of short delivery (the wire's own).
 const NOTE_GAP: Duration = Duration::from_secs(1);
-/// Shares within this of each other may come from one shortage (notes are smoothed and not of one instant).
-const ALIKE: f64 = 0.1;
 /// The timer token for asking for the list again.
 const ASK_AGAIN: u64 = 1;
 
@@ -80,9 +78,13 @@
     /// Use as the ledger sees it: own bookings, the base, and what the other fronts will have booked since
     /// the base was read, taking them to do as this one does. Before any reading that is all that is known.
     fn used(&self, now: Duration, others: f64) -> f64 {
+        self.asked(now, others).max(self.booked + self.short.at(now))
+    }
+
+    /// The same without regard to short delivery.
+    fn asked(&self, now: Duration, others: f64) -> f64 {
         let fade = self.read_at.map_or(1.0, |t| faded(now, t));
-        let since = others * (self.booked - self.own_read).max(0.0);
-        self.booked + ((self.base + since) * fade).max(self.short.at(now))
+        self.booked + (self.base + others * (self.booked - self.own_read).max(0.0)) * fade
     }
 
     fn record(&mut self, now: Duration, playing: f64, keep: Duration) {
@@ -291,11 +293,10 @@
     fn rack_asked(&self, r: &Rack) -> f64 {
         let asked = r.cells.values().map(|(_, id)| {
             let s = &self.servers[id];
-            let used = s.link.used(self.now, self.others());
-            // A short link's reading tells of what it gives, not of what is asked: the fronts are taken
-            // to be alike.
-            let sick = s.short_since.is_some() && used >= 1.0;
-            let used = if sick { s.link.booked * self.set.fronts as f64 } else { used };
+            let asked = s.link.asked(self.now, self.others());
+            // A sick link's reading tells of what it gives, not of what is asked: the fronts are taken to
+            // be alike.
+            let used = if asked >= 1.0 { s.link.booked * (1.0 + self.others()) } else { asked };
             used.clamp(0.0, 1.0) * self.link_size(s)
         });
         asked.sum()
@@ -798,7 +799,7 @@
         let since = *s.short_since.get_or_insert(now);
         let cell = s.entry.cell;
         let link = s.link.told.unwrap_or(0.0);
-        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link, share));
+        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
         if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.told.is_none()) {
             // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
             // that came tell the size. Also catches one that sags; errs if the links' readings are old.
@@ -822,20 +823,18 @@
     ///
     /// Guards against one sick server (silent, slow, flapping link) that makes its rack look full, by
     /// which the front would refuse half its fleet. It errs while only one server there is in use.
-    fn rack_short(&self, rack: u64, link: f64, seen: f64) -> bool {
+    fn rack_short(&self, rack: u64, link: f64) -> bool {
         let told = self.racks.get(&rack).and_then(|r| r.meter.told);
         let (mut short, mut fine) = (0, 0);
         for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
             let in_use = s.rate[1] > 0.0 && s.link.own_at(self.now.saturating_sub(self.set.told_late)) > 0.0;
             match s.share {
-                Some((t, share)) if share < SHORT && share < seen + ALIKE && t + NOTE_GAP * 2 > self.now => {
-                    short += 1
-                }
+                Some((t, share)) if share < SHORT && t + NOTE_GAP * 2 > self.now => short += 1,
                 _ if in_use => fine += 1,
                 _ => {}
             }
         }
-        told.map_or(short > 2 && link < 1.0, |x| x > link) && short > fine * 4
+        told.map_or(short > 1 && link < 1.0, |x| x > link) && short > fine * 4
     }
 
     /// A link that stays short: the own sessions there free what they take too much, those first that
