--- a/src/brain.rs
+++ b/src/brain.rs
@@ -170,13 +170,6 @@
     adopted: bool,
 }
 
-/// A tenant's recent traffic.
-#[derive(Default, Clone)]
-struct Traffic {
-    rate: f64,
-    since: Duration,
-}
-
 /// One front.
 pub struct Brain {
     set: Settings,
@@ -188,7 +181,8 @@
     sessions: BTreeMap<RequestId, Session>,
     /// Sessions by title and class, from send to final outcome.
     seats: BTreeMap<(TitleId, usize), usize>,
-    traffic: Vec<Traffic>,
+    /// Recent rate of first tries by tenant, and of when it is.
+    traffic: Vec<(f64, Duration)>,
     /// Requests taken and further attempts made, within the ration's span.
     taken: VecDeque<Duration>,
     extra: VecDeque<Duration>,
@@ -202,9 +196,9 @@
 impl Brain {
     /// A front that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let traffic = vec![Traffic::default(); set.tenants.len()];
         let marks = set.classes.iter().map(|c| marks(&set, c)).collect();
         Brain {
+            traffic: vec![(0.0, Duration::ZERO); set.tenants.len()],
             set,
             rng: fastrand::Rng::with_seed(seed),
             now: Duration::ZERO,
@@ -213,7 +207,6 @@
             racks: BTreeMap::new(),
             sessions: BTreeMap::new(),
             seats: BTreeMap::new(),
-            traffic,
             taken: VecDeque::new(),
             extra: VecDeque::new(),
             waiting: Vec::new(),
@@ -343,6 +336,20 @@
         self.reckon(server);
     }
 
+    /// Moves a session's booking to another rung.
+    fn rebook(&mut self, request: RequestId, rung: usize) {
+        let Some(s) = self.sessions.get_mut(&request) else { return };
+        let old = std::mem::replace(&mut s.rung, rung);
+        let (title, class) = (s.call.title, s.call.class);
+        let (server, playing) = match s.state {
+            State::Waiting => return,
+            State::Out(server) => (server, 0),
+            State::Playing(server, _) => (server, 1),
+        };
+        self.book(server, (title, class, old), -1, -playing);
+        self.book(server, (title, class, rung), 1, playing);
+    }
+
     fn reckon(&mut self, server: ServerId) {
         let Some(s) = self.servers.get(&server) else { return };
         let mut cost = [0.0; 2];
@@ -461,8 +468,7 @@
             s.lost = false;
             s.cold_since = s.cold_since.max(Some(now));
         }
-        if s.fails > 0 {
-            s.fails = 0;
+        if std::mem::take(&mut s.fails) > 0 {
             s.rest_until = now;
             self.out.push(Action::Log(format!("server {server} works again")));
         }
@@ -532,11 +538,9 @@
         ids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in ids {
             let (s, at) = (&self.sessions[&id], &self.servers[&server]);
-            let class = &self.set.classes[s.call.class];
-            let (call, old, top) =
-                (s.call.clone(), s.rung, s.call.top.min(class.top).min(self.set.ladder.len() - 1));
+            let (call, old) = (s.call.clone(), s.rung);
+            let top = call.top.min(self.set.classes[call.class].top).min(self.set.ladder.len() - 1);
             let (link, rack) = self.use_of(at);
-            let key = (call.title, call.class, old);
             let own = (self.group_cost(at, call.class, old, 1), self.group_rate(call.class, old, 1) / rack.1);
             let fronts = self.others() + 1.0;
             let base = (link - own.0 * fronts, (rack.0 - own.1 * fronts, rack.1));
@@ -544,8 +548,6 @@
             let Some(rung) = (old + 1..=top).rev().find(fits) else { continue };
             self.sessions.get_mut(&id).expect("listed above").adopted = false;
             self.set_rung(id, rung);
-            self.book(server, key, -1, -1);
-            self.book(server, (key.0, key.1, rung), 1, 1);
         }
     }
 
@@ -554,11 +556,11 @@
     fn tenant_worth(&self, tenant: Option<usize>) -> f64 {
         let worth = |i: usize| {
             let quota = self.set.tenants[i].quota / self.set.fronts.max(1) as f64;
-            let within = if quota > 0.0 { (quota / self.traffic[i].rate.max(1e-9)).min(1.0) } else { 1.0 };
+            let within = if quota > 0.0 { (quota / self.traffic[i].0.max(1e-9)).min(1.0) } else { 1.0 };
             within + (1.0 - within) * self.set.over_share_worth
         };
         let best =
-            (0..self.traffic.len()).filter(|i| self.traffic[*i].rate > 0.0).map(worth).fold(0.0, f64::max);
+            (0..self.traffic.len()).filter(|i| self.traffic[*i].0 > 0.0).map(worth).fold(0.0, f64::max);
         tenant.map_or(1.0, |i| (worth(i) / best.max(1e-9)).min(1.0))
     }
 
@@ -572,10 +574,9 @@
             call.tenant = None;
         }
         if let (Some(i), false) = (call.tenant, call.again) {
-            let t = &mut self.traffic[i];
-            let gone = secs(self.now - t.since);
-            t.rate = t.rate * (-gone / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
-            t.since = self.now;
+            let (rate, since) = self.traffic[i];
+            let left = rate * (-secs(self.now - since) / TENANT_SPAN).exp();
+            self.traffic[i] = (left + 1.0 / TENANT_SPAN, self.now);
         }
         let session = Session::new(call.clone(), State::Waiting);
         self.sessions.insert(call.request, session);
@@ -618,10 +619,10 @@
         let again = !class.at_most_once && s.attempts + 1 < self.set.limits.attempts;
         let within = if again { left.min(class.aim.mul_f64(TRY_PART)) } else { left };
         s.attempts += 1;
-        s.state = State::Out(server);
         let key = (s.call.title, s.call.class, rung);
         *self.seats.entry((key.0, key.1)).or_default() += 1;
         self.set_rung(request, rung);
+        self.sessions.get_mut(&request).expect("looked up above").state = State::Out(server);
         self.out.push(Action::Send(request, server, within));
         self.book(server, key, 1, 0);
         let now = self.now;
@@ -653,7 +654,7 @@
         if rung < class.floor || rung > class.top || rung > s.call.top || rung >= self.set.ladder.len() {
             return;
         }
-        s.rung = rung;
+        self.rebook(request, rung);
         self.out.push(Action::Rung(request, rung));
     }
 
@@ -728,10 +729,12 @@
             Outcome::ConnectFailed => self.failed(server, true, "no connection"),
             Outcome::Reset => self.failed(server, true, "connection lost"),
             Outcome::Timeout => self.failed(server, silent, "no answer"),
-            Outcome::Full => self.fill(server),
             _ => {
                 if let Some(s) = self.servers.get_mut(&server) {
                     s.trial = false;
+                    if outcome == Outcome::Full {
+                        s.link.fill(self.now);
+                    }
                 }
             }
         }
@@ -742,14 +745,6 @@
         }
     }
 
-    /// A set-up turned away as full: the link reads full.
-    fn fill(&mut self, server: ServerId) {
-        let now = self.now;
-        let Some(s) = self.servers.get_mut(&server) else { return };
-        s.trial = false;
-        s.link.fill(now);
-    }
-
     fn report(&mut self, server: ServerId, age: Duration, report: Report) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -768,15 +763,7 @@
         let young = matches!(s.state, State::Playing(_, t) if self.now - t < self.set.told_late);
         let age = if young { Duration::ZERO } else { self.set.told_late };
         match note {
-            Note::Rung(rung) if rung != s.rung && rung < self.set.ladder.len() => {
-                let (old, playing) = (s.rung, i32::from(matches!(s.state, State::Playing(..))));
-                let (title, class) = (s.call.title, s.call.class);
-                s.rung = rung;
-                if s.state != State::Waiting {
-                    self.book(server, (title, class, old), -1, -playing);
-                    self.book(server, (title, class, rung), 1, playing);
-                }
-            }
+            Note::Rung(rung) if rung < self.set.ladder.len() => self.rebook(request, rung),
             Note::Rung(_) => {}
             Note::Link(x) => {
                 self.read.push(server);
@@ -859,22 +846,20 @@
                 let (from, to) = (self.set.ladder[s.rung], self.set.ladder[s.rung - 1]);
                 let freed = rate(s.rung) - rate(s.rung - 1);
                 let loss = class.worth * (from.worth - to.worth) / freed.max(1e-9);
-                steps.push((loss, *id, at, freed));
+                steps.push((loss, *id, freed));
             }
         }
         steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut excess = asked * (1.0 - share);
-        for (_, id, at, freed) in steps {
+        for (_, id, freed) in steps {
             if excess <= 0.0 {
                 return;
             }
             excess -= freed;
             let s = self.sessions.get_mut(&id).expect("listed above");
             s.stepped = Some(now);
-            let (title, class, rung) = (s.call.title, s.call.class, s.rung);
-            self.set_rung(id, rung - 1);
-            self.book(at, (title, class, rung), -1, -1);
-            self.book(at, (title, class, rung - 1), 1, 1);
+            let lower = s.rung - 1;
+            self.set_rung(id, lower);
         }
     }
 }
