--- a/src/brain.rs
+++ b/src/brain.rs
@@ -101,7 +101,13 @@
     }
 
     /// A reading taken `age` ago: the base is what the own sessions of that time don't explain.
-    fn read(&mut self, now: Duration, age: Duration, reading: f64) {
+    ///
+    /// One that finds room a whole round of notes after the last short delivery ends that: room stood empty
+    /// for half a minute after each short sag. A link that comes and goes more slowly is filled again.
+    fn read(&mut self, now: Duration, age: Duration, reading: f64, round: Duration) {
+        if reading < MARK && self.short.1 + round < now {
+            self.short = Fading::default();
+        }
         self.told = Some(reading);
         self.read_at = Some(now);
         self.own_read = self.own_at(now.saturating_sub(age));
@@ -746,14 +752,14 @@
     }
 
     fn report(&mut self, server: ServerId, age: Duration, report: Report) {
-        let now = self.now;
+        let (now, round) = (self.now, self.set.told_every + self.set.told_late);
         let Some(s) = self.servers.get_mut(&server) else { return };
         let cell = s.entry.cell;
         if let Some(x) = report.link {
-            s.link.read(now, age, x);
+            s.link.read(now, age, x, round);
         }
         if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
-            self.racks.entry(rack).or_default().meter.read(now, age, x);
+            self.racks.entry(rack).or_default().meter.read(now, age, x, round);
         }
     }
 
