--- a/src/brain.rs
+++ b/src/brain.rs
@@ -756,6 +756,7 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         let cell = s.entry.cell;
         if let Some(x) = report.link {
+            self.read.push(server);
             s.link.read(now, age, x, round);
         }
         if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
@@ -771,10 +772,7 @@
         match note {
             Note::Rung(rung) if rung < self.set.ladder.len() => self.rebook(request, rung),
             Note::Rung(_) => {}
-            Note::Link(x) => {
-                self.read.push(server);
-                self.report(server, age, Report { link: Some(x), rack: None })
-            }
+            Note::Link(x) => self.report(server, age, Report { link: Some(x), rack: None }),
             Note::Rack(x) => self.report(server, age, Report { link: None, rack: Some(x) }),
             Note::Share(share) => self.share(server, share),
         }
