--- a/src/brain.rs
+++ b/src/brain.rs
@@ -78,7 +78,13 @@
     /// Use as the ledger sees it: own bookings, the base, and what the other fronts will have booked since
     /// the base was read, taking them to do as this one does. Before any reading that is all that is known.
     fn used(&self, now: Duration, others: f64) -> f64 {
-        self.asked(now, others).max(self.booked + self.short.at(now))
+        let short = self.short.at(now);
+        let asked = self.asked(now, others);
+        if short > 0.0 {
+            asked.max(self.booked + short)
+        } else {
+            asked
+        }
     }
 
     /// The same without regard to short delivery.
