--- a/src/brain.rs
+++ b/src/brain.rs
@@ -115,9 +115,11 @@
             self.short = Fading::default();
         }
         self.told = Some(reading);
-        self.read_at = Some(now);
         self.own_read = self.own_at(now.saturating_sub(age));
-        self.base = reading - self.own_read;
+        let base = reading - self.own_read;
+        let old = self.read_at.map_or(base, |t| self.base * faded(now, t));
+        self.base = if (base - old).abs() < 0.25 { (base + old) / 2.0 } else { base };
+        self.read_at = Some(now);
     }
 
     /// Short delivery: the page reads full from now on, fading.
@@ -864,17 +866,14 @@
             let class = &self.set.classes[s.call.class];
             let rate = |rung: usize| self.set.ladder[rung].rate * class.scale;
             asked += rate(s.rung);
-            let worthless = rack.is_none() && share < SHORT - 1.0 / self.set.stall_cost.max(1.0);
-            if (worthless || s.rung > class.floor) && s.stepped.is_none_or(|t| t + STEP_GAP <= now) {
-                let from = self.set.ladder[s.rung];
-                let to = if worthless { Rung::default() } else { self.set.ladder[s.rung - 1] };
-                let freed = rate(s.rung) - to.rate * class.scale;
+            if s.rung > class.floor && s.stepped.is_none_or(|t| t + STEP_GAP <= now) {
+                let (from, to) = (self.set.ladder[s.rung], self.set.ladder[s.rung - 1]);
+                let freed = rate(s.rung) - rate(s.rung - 1);
                 let loss = class.worth * (from.worth - to.worth) / freed.max(1e-9);
                 steps.push((loss, *id, freed));
             }
         }
         steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let worthless = rack.is_none() && share < SHORT - 1.0 / self.set.stall_cost.max(1.0);
         let mut excess = asked * (1.0 - share);
         for (_, id, freed) in steps {
             if excess <= 0.0 {
@@ -883,12 +882,8 @@
             excess -= freed;
             let s = self.sessions.get_mut(&id).expect("listed above");
             s.stepped = Some(now);
-            let lower = s.rung.saturating_sub(1);
-            if worthless {
-                self.out.push(Action::Move(id));
-            } else {
-                self.set_rung(id, lower);
-            }
+            let lower = s.rung - 1;
+            self.set_rung(id, lower);
         }
     }
 }
