--- a/src/brain.rs
+++ b/src/brain.rs
@@ -115,11 +115,9 @@
             self.short = Fading::default();
         }
         self.told = Some(reading);
-        self.own_read = self.own_at(now.saturating_sub(age));
-        let base = reading - self.own_read;
-        let old = self.read_at.map_or(base, |t| self.base * faded(now, t));
-        self.base = if (base - old).abs() < 0.25 { (base + old) / 2.0 } else { base };
         self.read_at = Some(now);
+        self.own_read = self.own_at(now.saturating_sub(age));
+        self.base = reading - self.own_read;
     }
 
     /// Short delivery: the page reads full from now on, fading.
@@ -271,9 +269,12 @@
 
     // ---- The ledger ----
 
-    /// Size of a server's link now. A cold one gives the part that it has surely warmed.
+    /// Size of a server's link now. A cold one's is taken to warm evenly, from when it was known to run.
     fn link_size(&self, s: &Server) -> f64 {
-        self.rated_link(&s.entry) * if self.is_cold(s) { self.set.rules.cold_from.max(0.01) } else { 1.0 }
+        let (from, cold) = (self.set.rules.cold_from.max(0.01), secs(self.set.rules.cold).max(1e-9));
+        let since = s.cold_since.filter(|_| !s.lost).map(|t| secs(self.now.saturating_sub(t)) / cold);
+        let warm = if self.is_cold(s) { from + (1.0 - from) * since.unwrap_or(0.0) } else { 1.0 };
+        self.rated_link(&s.entry) * warm
     }
 
     /// Size of a server's link as told: by its weight, or by its kind's streams.
