--- a/src/brain.rs
+++ b/src/brain.rs
@@ -269,12 +269,9 @@
 
     // ---- The ledger ----
 
-    /// Size of a server's link now. A cold one's is taken to warm evenly, from when it was known to run.
+    /// Size of a server's link now. A cold one gives the part that it has surely warmed.
     fn link_size(&self, s: &Server) -> f64 {
-        let (from, cold) = (self.set.rules.cold_from.max(0.01), secs(self.set.rules.cold).max(1e-9));
-        let since = s.cold_since.filter(|_| !s.lost).map(|t| secs(self.now.saturating_sub(t)) / cold);
-        let warm = if self.is_cold(s) { from + (1.0 - from) * since.unwrap_or(0.0) } else { 1.0 };
-        self.rated_link(&s.entry) * warm
+        self.rated_link(&s.entry) * if self.is_cold(s) { self.set.rules.cold_from.max(0.01) } else { 1.0 }
     }
 
     /// Size of a server's link as told: by its weight, or by its kind's streams.
