--- a/src/brain.rs
+++ b/src/brain.rs
@@ -704,6 +704,7 @@
         *self.seats.entry((title, class)).or_default() += 1;
         self.sessions.insert(request, session);
         self.book(server, (title, class, rung), 1, 1);
+        self.read.push(server);
     }
 
     fn playing(&mut self, request: RequestId, server: ServerId) {
