--- a/src/brain.rs
+++ b/src/brain.rs
@@ -563,7 +563,7 @@
             let base = (link - own.0 * fronts, (rack.0 - own.1 * fronts, rack.1));
             let fits = |rung: &usize| self.fits(&call, *rung, at, base.0, base.1, fronts);
             let Some(rung) = (old + 1..=top).rev().find(fits) else { continue };
-            self.sessions.get_mut(&id).expect("listed above").adopted = false;
+            self.sessions.get_mut(&id).expect("listed above").adopted = rung < top;
             self.set_rung(id, rung);
         }
     }
@@ -704,7 +704,6 @@
         *self.seats.entry((title, class)).or_default() += 1;
         self.sessions.insert(request, session);
         self.book(server, (title, class, rung), 1, 1);
-        self.read.push(server);
     }
 
     fn playing(&mut self, request: RequestId, server: ServerId) {
