--- a/src/brain.rs
+++ b/src/brain.rs
@@ -563,7 +563,7 @@
             let base = (link - own.0 * fronts, (rack.0 - own.1 * fronts, rack.1));
             let fits = |rung: &usize| self.fits(&call, *rung, at, base.0, base.1, fronts);
             let Some(rung) = (old + 1..=top).rev().find(fits) else { continue };
-            self.sessions.get_mut(&id).expect("listed above").adopted = rung < top;
+            self.sessions.get_mut(&id).expect("listed above").adopted = false;
             self.set_rung(id, rung);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,20 +38,10 @@
     pub racks: u64,
     /// What a further viewer of a live title adds, as a part of its rate; 1: nothing is shared.
     pub join: f64,
-    /// A server turns set-ups away from this link use on; 0: never.
-    pub full_from: f64,
     /// How late notes on playing sessions are.
     pub told_late: Duration,
     /// Time between link notes; zero: there are none.
     pub told_every: Duration,
-    /// Shortest time between two calls of the module.
-    pub tick: Duration,
-    /// Points of worth lost for each point of rate missing.
-    pub stall_cost: f64,
-    /// What a rung change costs, in seconds of the session's worth.
-    pub switch_cost: Duration,
-    /// What a move costs, in sessions.
-    pub move_cost: f64,
     /// What the caller permits.
     pub limits: Limits,
     /// The figures of the rules.
@@ -65,8 +55,6 @@
 pub struct Class {
     /// A set-up is wanted playing within this time.
     pub aim: Duration,
-    /// Viewers wait at most so long.
-    pub deadline: Duration,
     /// Whether a set-up may take effect once only.
     pub at_most_once: bool,
     /// Worth of one second at a rung of worth 1.
@@ -104,12 +92,8 @@
 pub struct Limits {
     /// Most attempts for one request.
     pub attempts: u32,
-    /// Whether an attempt may be called off.
-    pub may_cancel: bool,
     /// The longest hold-off that clients follow; zero: they take none.
     pub hold_off: Duration,
-    /// After so long without a connection an attempt ends as `ConnectFailed`.
-    pub connect_timeout: Duration,
 }
 
 /// The figures of the rules.
@@ -287,8 +271,6 @@
     Refuse(RequestId, Duration),
     /// Final answer: failed, may have run.
     Fail(RequestId),
-    /// Take the playing session off its server; the viewer comes again.
-    Move(RequestId),
     /// Call `Event::Timer` with this token after this time.
     Timer(Duration, u64),
     /// Subscribe to the list.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,6 @@
 //!     fronts: 1,
 //!     classes: vec![Class {
 //!         aim: Duration::from_secs(1),
-//!         deadline: Duration::from_secs(3),
 //!         worth: 1.0,
 //!         scale: 1.0,
 //!         top: 1,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -46,12 +46,8 @@
     #[serde(default)]
     over_share_worth: f64,
     #[serde(default)]
-    tariffs: WireTariffs,
-    #[serde(default)]
     tenants: Vec<WireTenant>,
     #[serde(default)]
-    tick: f64,
-    #[serde(default)]
     weights: String,
 }
 
@@ -68,12 +64,9 @@
     places: f64,
     places_by_kind: Vec<f64>,
     rack_link_kb: f64,
-    refuses_from: f64,
     scale_by_class: Vec<f64>,
     seats: Vec<f64>,
     shelves: f64,
-    stall_cost: f64,
-    switch_s: f64,
     told_every: f64,
     told_late: f64,
 }
@@ -83,8 +76,6 @@
     #[serde(default)]
     aim: f64,
     #[serde(default)]
-    deadline: f64,
-    #[serde(default)]
     effect: String,
     #[serde(default)]
     importance: f64,
@@ -107,19 +98,11 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "kebab-case", default)]
 struct WireLimits {
-    connect_timeout: f64,
     max_retry_after: f64,
-    may_cancel: bool,
     most_tries: f64,
     retry_after: bool,
 }
 
-#[derive(Deserialize, Default)]
-struct WireTariffs {
-    #[serde(default)]
-    moves: f64,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireTenant {
@@ -241,7 +224,6 @@
     let highest = d.level_kb.len().saturating_sub(1);
     let class = |(i, g): (usize, &WireGrade)| Class {
         aim: span(g.aim),
-        deadline: span(g.deadline),
         at_most_once: g.effect != "idempotent",
         worth: g.importance,
         scale: at(&d.scale_by_class, i).unwrap_or(1.0),
@@ -265,18 +247,11 @@
         cells: whole(d.places) as u64,
         racks: whole(d.shelves) as u64,
         join: d.join.unwrap_or(1.0),
-        full_from: d.refuses_from,
         told_late: span(d.told_late),
         told_every: span(d.told_every),
-        tick: span(w.tick),
-        stall_cost: d.stall_cost,
-        switch_cost: span(d.switch_s * 1e3),
-        move_cost: w.tariffs.moves,
         limits: Limits {
             attempts: whole(w.limits.most_tries) as u32,
-            may_cancel: w.limits.may_cancel,
             hold_off: if w.limits.retry_after { span(w.limits.max_retry_after) } else { Duration::ZERO },
-            connect_timeout: span(w.limits.connect_timeout),
         },
         rules: Rules {
             cold: span(r.cold),
@@ -411,7 +386,6 @@
         Action::Rung(r, rung) => json!({"verb": "step-to", "ref": r, "tier-no": rung}),
         Action::Refuse(r, after) => json!({"verb": "refuse", "ref": r, "hold-off": millis(*after)}),
         Action::Fail(r) => json!({"verb": "finish-error", "ref": r}),
-        Action::Move(r) => json!({"verb": "rebalance", "ref": r}),
         Action::Timer(after, token) => json!({"verb": "arm", "sleep-for": millis(*after), "token": token}),
         Action::Subscribe => json!({"verb": "listen", "enable": true}),
         Action::Log(words) => json!({"verb": "trace", "words": words}),
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -14,7 +14,6 @@
 fn settings() -> Settings {
     let class = |at_most_once, seats, floor| Class {
         aim: ms(1000),
-        deadline: ms(3000),
         at_most_once,
         worth: 1.0,
         scale: 1.0,
@@ -39,8 +38,7 @@
         join: 1.0,
         told_late: ms(1000),
         told_every: ms(3000),
-        tick: ms(10),
-        limits: Limits { attempts: 3, may_cancel: true, hold_off: ms(800), connect_timeout: ms(250) },
+        limits: Limits { attempts: 3, hold_off: ms(800) },
         rules: Rules {
             cold: ms(10_000),
             cold_from: 0.4,
@@ -168,7 +166,7 @@
     let late = Event::Note(1, server, Note::Link(0.25));
     let calls = [late, Event::Call(call(3, 1, t)), Event::Call(call(4, 1, t))];
     let actions = brain.step(t, &calls);
-    let rung = |id| actions.iter().find_map(|a| matches!(a, Action::Rung(r, _) if *r == id).then_some(a));
+    let rung = |id| actions.iter().find(|a| matches!(a, Action::Rung(r, _) if *r == id));
     // The base is 0 and the own sessions ask 0.5: one more top rung fits under its mark, a second doesn't.
     assert_eq!(rung(3), Some(&Action::Rung(3, 2)));
     assert_ne!(rung(4), Some(&Action::Rung(4, 2)));
