--- a/src/brain.rs
+++ b/src/brain.rs
@@ -398,7 +398,7 @@
     fn list(&mut self, mode: ListMode, entries: &[Entry]) {
         if mode == ListMode::Broken {
             if !self.set.list_pushed {
-                self.out.push(Action::Timer(self.set.rules.ask_within / 2, ASK_AGAIN));
+                self.out.push(Action::Timer((self.set.rules.ask_within / 2).max(REST), ASK_AGAIN));
             }
             return;
         }
