--- a/src/brain.rs
+++ b/src/brain.rs
@@ -813,7 +813,8 @@
             // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
             // that came tell the size. Also catches one that sags; errs if the links' readings are old.
             let size = self.rack_asked(r) * share;
-            let missing = Fading((1.0 - size / r.uplink.max(1e-9)).clamp(0.0, 0.9), now);
+            let part = (1.0 - size / r.uplink.max(1e-9)).clamp(0.0, 0.9).max(r.missing.at(now));
+            let missing = Fading(part, now);
             self.racks.get_mut(&rack.expect("just read")).expect("just read").missing = missing;
         }
         let meter = match rack {
