Others' part fades to what is usual in the fleet, turns at cold servers, steps rounded by chance, sessions priced one by one

Cause: a reading was multiplied by all fronts, an unread server looked empty, all fronts sent their first set-up to a cold server at once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 //! `set_rung` the only one that sets rungs, `answer` the only one that gives final answers.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Share of a link or uplink that the ledger may reach (the paper's example for an operator's threshold).
@@ -16,6 +16,8 @@
 const STEP_GAP: Duration = Duration::from_secs(30);
 /// Delivered share under which a link counts as short (the wire's own bound for notes of it).
 const SHORT: f64 = 0.98;
+/// How many standard deviations the sum of the fronts' turns at a cold server may lie above its mean.
+const CHANCE: f64 = 2.0;
 /// How much lower the mark of a step of lesser worth per kB is: the mark goes with this power of it.
 const STEP_POWER: f64 = 0.15;
 /// The same for a tenant past its share; weaker, for the room kept may find no better use.
@@ -32,6 +34,8 @@
 const TENANT_SPAN: f64 = 20.0;
 /// Time between notes of short delivery (the wire's own).
 const NOTE_GAP: Duration = Duration::from_secs(1);
+/// What stands in for zero where a size is divided by.
+const TINY: f64 = 1e-9;
 /// The timer token for asking for the list again.
 const ASK_AGAIN: u64 = 1;
 
@@ -75,25 +79,23 @@
 }
 
 impl Meter {
-    /// Use as the ledger sees it: own bookings, the base, and what the other fronts will have booked since
-    /// the base was read, taking them to do as this one does. Before any reading that is all that is known.
-    fn used(&self, now: Duration, others: f64) -> f64 {
-        let short = self.short.at(now);
-        let asked = self.asked(now, others);
-        if short > 0.0 {
-            asked.max(self.booked + short)
-        } else {
-            asked
-        }
+    /// What others ask of it: the last reading less the own part, fading to what is usual in the fleet;
+    /// and what those who heard the same reading have booked since, taking them to do as this front does.
+    fn others(&self, now: Duration, usual: f64, hearers: impl Fn(f64) -> f64) -> f64 {
+        let Some(t) = self.read_at else { return usual.max(self.booked * hearers(usual)) };
+        let fade = faded(now, t);
+        let since = (self.booked - self.own_read).max(0.0);
+        let since = if since > 0.0 { since * hearers(self.base) } else { 0.0 };
+        (self.base + since) * fade + usual * (1.0 - fade)
     }
 
-    /// The same without regard to short delivery.
-    fn asked(&self, now: Duration, others: f64) -> f64 {
-        let fade = self.read_at.map_or(1.0, |t| faded(now, t));
-        self.booked + (self.base + others * (self.booked - self.own_read).max(0.0)) * fade
+    /// Use as the ledger sees it. Short delivery counts over what is read.
+    fn used(&self, now: Duration, others: f64) -> f64 {
+        self.booked + others.max(self.short.at(now))
     }
 
-    fn record(&mut self, now: Duration, playing: f64, keep: Duration) {
+    fn record(&mut self, now: Duration, booked: f64, playing: f64, keep: Duration) {
+        self.booked = booked;
         while self.playing.len() > 1 && self.playing[1].0 + keep < now {
             self.playing.pop_front();
         }
@@ -130,11 +132,13 @@
 #[derive(Default)]
 struct Server {
     entry: Entry,
-    /// Own sessions by title, class and rung: booked, and of these playing.
-    groups: BTreeMap<(TitleId, usize, usize), [u32; 2]>,
     link: Meter,
-    /// Booked and playing rate, kB a second.
-    rate: [f64; 2],
+    /// What others are taken to ask of the link, as of the last survey.
+    others: f64,
+    /// Size of its link as told.
+    rated: f64,
+    /// What the own sessions there take.
+    own: Own,
     /// When it started cold, as far as known.
     cold_since: Option<Duration>,
     /// It was seen to fail in a way that may mean a restart: cold when it returns.
@@ -150,6 +154,10 @@
     short_since: Option<Duration>,
     /// When a reading last led to raising sessions.
     noted: Duration,
+    /// When this front's first set-up may go to it while it is cold.
+    turn: Option<Duration>,
+    /// Own sessions there, set-ups included.
+    sessions: BTreeSet<RequestId>,
 }
 
 /// What is known of one rack.
@@ -159,8 +167,39 @@
     /// The part of it that short delivery showed to be missing.
     missing: Fading,
     meter: Meter,
-    /// Its cells: rated link and server.
-    cells: BTreeMap<u64, (f64, ServerId)>,
+    /// What others are taken to ask of it, as of the last survey.
+    others: f64,
+    /// What its links can carry as told, and how much of that its servers in service can.
+    links: f64,
+    own: Own,
+}
+
+/// What sessions take: shares of a link, and kB a second; booked, and of that playing.
+#[derive(Clone, Copy, Default)]
+struct Own {
+    booked: Price,
+    playing: Price,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Price {
+    link: f64,
+    rate: f64,
+}
+
+impl std::ops::AddAssign for Price {
+    fn add_assign(&mut self, other: Price) {
+        self.link += other.link;
+        self.rate += other.rate;
+    }
+}
+
+/// What the front takes to be usual in the fleet, worked out once an instant.
+#[derive(Default)]
+struct Survey {
+    at: Option<Duration>,
+    /// Mean rate of an own session, kB a second.
+    session: f64,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -206,6 +245,7 @@
     waiting: Vec<RequestId>,
     /// Servers whose links were read in this instant.
     read: Vec<ServerId>,
+    survey: Survey,
     /// For each class and rung: the mark of the ledger up to which it is given.
     marks: Vec<Vec<f64>>,
 }
@@ -228,6 +268,7 @@
             extra: VecDeque::new(),
             waiting: Vec::new(),
             read: Vec::new(),
+            survey: Survey::default(),
             marks,
         }
     }
@@ -271,126 +312,121 @@
 
     /// Size of a server's link now. A cold one gives the part that it has surely warmed.
     fn link_size(&self, s: &Server) -> f64 {
-        self.rated_link(&s.entry) * if self.is_cold(s) { self.set.rules.cold_from.max(0.01) } else { 1.0 }
+        s.rated * if self.is_cold(s) { self.set.rules.cold_from.max(0.01) } else { 1.0 }
     }
 
-    /// Size of a server's link as told: by its weight, or by its kind's streams.
-    fn rated_link(&self, e: &Entry) -> f64 {
-        if self.set.weights_tell_size {
-            return e.weight * self.set.link_unit;
-        }
-        let streams = |kind: usize| self.set.streams_by_kind.get(kind).copied().unwrap_or(1.0);
-        let all: f64 = self.servers.values().map(|s| streams(s.entry.kind)).sum();
-        let mean = all / self.servers.len().max(1) as f64;
-        self.set.link_unit * if mean > 0.0 { streams(e.kind) / mean } else { 1.0 }
-    }
-
-    /// Use of an uplink: its page, or where readings of it are not told what its links are read to ask.
-    fn rack_used(&self, r: &Rack) -> f64 {
-        let page = r.meter.used(self.now, self.others());
-        if r.meter.told.is_some() {
-            return page;
-        }
-        page.max(self.rack_asked(r) / self.uplink(r))
+    /// How many other fronts there are.
+    fn others(&self) -> f64 {
+        self.set.fronts.saturating_sub(1) as f64
     }
 
     /// Size of an uplink now: as told, less what short delivery showed to be missing.
     fn uplink(&self, r: &Rack) -> f64 {
-        (r.uplink * (1.0 - r.missing.at(self.now))).max(1e-9)
-    }
-
-    /// What the links of a rack are read to ask of its uplink.
-    fn rack_asked(&self, r: &Rack) -> f64 {
-        let asked = r.cells.values().map(|(_, id)| {
-            let s = &self.servers[id];
-            let asked = s.link.asked(self.now, self.others());
-            // A sick link's reading tells of what it gives, not of what is asked: the fronts are taken to
-            // be alike.
-            let used = if asked >= 1.0 { s.link.booked * (1.0 + self.others()) } else { asked };
-            used.clamp(0.0, 1.0) * self.link_size(s)
-        });
-        asked.sum()
-    }
-
-    /// How many other fronts there are.
-    fn others(&self) -> f64 {
-        self.set.fronts.saturating_sub(1) as f64
+        (r.uplink * (1.0 - r.missing.at(self.now))).max(TINY)
     }
 
     fn rack_of(&self, cell: u64) -> Option<u64> {
         (self.set.racks > 0 && self.set.rack_uplink > 0.0).then(|| cell % self.set.racks.max(1))
     }
 
-    /// Rate of `n` sessions of a class at a rung: with live sharing, the first in full, others in part.
-    fn group_rate(&self, class: usize, rung: usize, n: u32) -> f64 {
-        let c = &self.set.classes[class];
-        let rate = self.set.ladder[rung].rate * c.scale;
-        let n = f64::from(n);
-        if c.live && self.set.join < 1.0 && n > 0.0 {
-            return rate * (1.0 + (n - 1.0) * self.set.join);
+    /// Works out what is usual and what others are taken to ask, for each link and uplink.
+    ///
+    /// With many fronts most servers hold no own session and have no reading: they are taken to be as the
+    /// read ones are, and before any reading the others to do as this front does, spread over the fleet.
+    fn look_round(&mut self) {
+        if self.survey.at == Some(self.now) {
+            return;
+        }
+        let (now, others) = (self.now, self.others());
+        let (mut own, mut n) = (0.0, 0.0);
+        for s in self.sessions.values().filter(|s| s.state != State::Waiting) {
+            let rate = self.set.ladder[s.rung].rate * self.set.classes[s.call.class].scale;
+            own += rate;
+            n += 1.0;
+        }
+        self.survey = Survey {
+            at: Some(now),
+            session: if n > 0.0 { own / n } else { self.set.ladder.first().map_or(0.0, |r| r.rate) },
+        };
+        // What the others would have if they did as this front does counts as one reading.
+        let usual = |pages: &mut dyn Iterator<Item = (f64, &Meter)>| {
+            let (mut size, mut count, mut sum, mut weight) = (0.0, 0.0, 0.0, 0.0);
+            for (rated, m) in pages {
+                let w = rated * m.read_at.map_or(0.0, |t| faded(now, t));
+                size += rated;
+                count += 1.0;
+                sum += w * m.base.clamp(0.0, 1.0);
+                weight += w;
+            }
+            let one = size / f64::max(count, 1.0);
+            (sum + one * others * own / f64::max(size, TINY)) / (weight + one).max(TINY)
+        };
+        let session = self.survey.session;
+        let serving = |s: &&Server| s.entry.state == Listed::Serving;
+        let mean = usual(&mut self.servers.values().filter(serving).map(|s| (s.rated, &s.link)));
+        for s in self.servers.values_mut() {
+            s.others = s.link.others(now, mean, |base| (base * s.rated / session).clamp(0.0, others));
+        }
+        let told = self.racks.values().any(|r| r.meter.told.is_some());
+        if told {
+            let mean = usual(&mut self.racks.values().map(|r| (r.uplink, &r.meter)));
+            for r in self.racks.values_mut() {
+                r.others = r.meter.others(now, mean, |base| (base * r.uplink / session).clamp(0.0, others));
+            }
+            return;
+        }
+        // Where readings of uplinks are not told: what the links are read to ask. A sick link's reading tells
+        // of what it gives, not of what is asked.
+        let mut asked = BTreeMap::<u64, f64>::new();
+        for s in self.servers.values() {
+            let Some(rack) = self.rack_of(s.entry.cell) else { continue };
+            let part = if s.link.booked + s.others >= 1.0 { mean.min(s.others) } else { s.others };
+            let part = (s.link.booked + part).clamp(0.0, 1.0) - s.link.booked;
+            *asked.entry(rack).or_default() += part * self.link_size(s);
+        }
+        for (rack, asked) in asked {
+            let r = self.racks.entry(rack).or_default();
+            r.others = asked / r.uplink.max(TINY);
         }
-        rate * n
     }
 
-    /// Cost on a link of `n` such sessions: by rate, or by the streams they take if that is more.
-    fn group_cost(&self, s: &Server, class: usize, rung: usize, n: u32) -> f64 {
+    /// What a session costs: by rate, or by the stream that it takes if that is more of the link. One that
+    /// joins a live stream costs only the told part.
+    fn price(&self, s: &Server, class: usize, rung: usize, joins: bool) -> Price {
         let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(0.0);
-        let c = &self.set.classes[class];
-        let taken = if c.live && self.set.join < 1.0 { n.min(1) } else { n };
-        let place = if streams > 0.0 { f64::from(taken) / streams } else { 0.0 };
-        (self.group_rate(class, rung, n) / self.link_size(s).max(1e-9)).max(place)
-    }
-
-    /// Adds or takes a session to or from a server's groups, and works its page out anew.
-    fn book(&mut self, server: ServerId, key: (TitleId, usize, usize), booked: i32, playing: i32) {
-        let Some(s) = self.servers.get_mut(&server) else { return };
-        let group = s.groups.entry(key).or_default();
-        group[0] = group[0].saturating_add_signed(booked);
-        group[1] = group[1].saturating_add_signed(playing);
-        if group[0] == 0 {
-            s.groups.remove(&key);
-        }
-        self.reckon(server);
+        let part = if joins { self.set.join } else { 1.0 };
+        let rate = self.set.ladder[rung].rate * self.set.classes[class].scale * part;
+        let place = if streams > 0.0 && !joins { 1.0 / streams } else { 0.0 };
+        Price { link: (rate / self.link_size(s).max(TINY)).max(place), rate }
     }
 
-    /// Moves a session's booking to another rung.
-    fn rebook(&mut self, request: RequestId, rung: usize) {
-        let Some(s) = self.sessions.get_mut(&request) else { return };
-        let old = std::mem::replace(&mut s.rung, rung);
-        let (title, class) = (s.call.title, s.call.class);
-        let (server, playing) = match s.state {
-            State::Waiting => return,
-            State::Out(server) => (server, 0),
-            State::Playing(server, _) => (server, 1),
-        };
-        self.book(server, (title, class, old), -1, -playing);
-        self.book(server, (title, class, rung), 1, playing);
+    /// Whether viewers of a class share the streams of a title.
+    fn shares(&self, class: usize) -> bool {
+        self.set.join < 1.0 && self.set.classes[class].live
     }
 
+    /// Works a server's page out anew, and its part in the rack's.
     fn reckon(&mut self, server: ServerId) {
         let Some(s) = self.servers.get(&server) else { return };
-        let mut cost = [0.0; 2];
-        let mut rate = [0.0; 2];
-        for ((_, class, rung), n) in &s.groups {
-            for i in 0..2 {
-                cost[i] += self.group_cost(s, *class, *rung, n[i]);
-                rate[i] += self.group_rate(*class, *rung, n[i]);
+        let (mut own, mut streams) = (Own::default(), BTreeSet::new());
+        for x in s.sessions.iter().filter_map(|id| self.sessions.get(id)) {
+            let joins = self.shares(x.call.class) && !streams.insert((x.call.title, x.call.class, x.rung));
+            let price = self.price(s, x.call.class, x.rung, joins);
+            own.booked += price;
+            if matches!(x.state, State::Playing(..)) {
+                own.playing += price;
             }
         }
         let (now, keep, rack) = (self.now, self.set.told_late + REPORT_AGE, self.rack_of(s.entry.cell));
         let s = self.servers.get_mut(&server).expect("looked up above");
-        s.link.booked = cost[0];
-        s.link.record(now, cost[1], keep);
-        s.rate = rate;
+        s.link.record(now, own.booked.link, own.playing.link, keep);
+        let old = std::mem::replace(&mut s.own, own);
         let Some(rack) = rack else { return };
-        let mut sum = [0.0; 2];
-        for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
-            sum[0] += s.rate[0];
-            sum[1] += s.rate[1];
-        }
         let r = self.racks.entry(rack).or_default();
-        r.meter.booked = sum[0] / r.uplink.max(1e-9);
-        r.meter.record(now, sum[1] / r.uplink.max(1e-9), keep);
+        r.own.booked.rate = (r.own.booked.rate + own.booked.rate - old.booked.rate).max(0.0);
+        r.own.playing.rate = (r.own.playing.rate + own.playing.rate - old.playing.rate).max(0.0);
+        let uplink = r.uplink.max(TINY);
+        r.meter.record(now, r.own.booked.rate / uplink, r.own.playing.rate / uplink, keep);
     }
 
     // ---- List and health ----
@@ -415,30 +451,40 @@
             let s = self.servers.entry(e.server).or_default();
             let restarted = e.started > s.entry.started;
             s.entry = *e;
-            if e.started > Duration::ZERO && e.started + cold > now {
+            let is_cold = e.started > Duration::ZERO && e.started + cold > now;
+            if is_cold {
                 s.cold_since = s.cold_since.max(Some(e.started));
             }
             if restarted {
                 // A new start ends what was held against the old process.
                 (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
             }
+            if restarted && is_cold {
+                self.draw_turn(e.server);
+            }
         }
-        self.size_racks();
+        self.size_links();
+        self.survey.at = None;
     }
 
-    /// Uplinks: the told mean, given to the racks by the rated links of their cells.
-    fn size_racks(&mut self) {
-        let links = self.servers.iter().map(|(id, s)| (s.entry.cell, (self.rated_link(&s.entry), *id)));
-        for (cell, link) in links.collect::<Vec<_>>() {
-            if let Some(rack) = self.rack_of(cell) {
-                self.racks.entry(rack).or_default().cells.insert(cell, link);
+    /// Links by their weight, or by their kind's streams; uplinks by the rated links of their cells.
+    fn size_links(&mut self) {
+        let streams = |e: &Entry| self.set.streams_by_kind.get(e.kind).copied().unwrap_or(1.0);
+        let all: f64 = self.servers.values().map(|s| streams(&s.entry)).sum();
+        let mean = all / self.servers.len().max(1) as f64;
+        for s in self.servers.values_mut() {
+            let weight = if mean > 0.0 { streams(&s.entry) / mean } else { 1.0 };
+            s.rated = self.set.link_unit * if self.set.weights_tell_size { s.entry.weight } else { weight };
+        }
+        self.racks.values_mut().for_each(|r| r.links = 0.0);
+        for s in self.servers.values() {
+            if let Some(rack) = self.rack_of(s.entry.cell) {
+                self.racks.entry(rack).or_default().links += s.rated;
             }
         }
-        let all: f64 = self.racks.values().flat_map(|r| r.cells.values()).map(|c| c.0).sum();
-        let mean = all / self.racks.len().max(1) as f64;
+        let mean = self.racks.values().map(|r| r.links).sum::<f64>() / self.racks.len().max(1) as f64;
         for r in self.racks.values_mut() {
-            let own: f64 = r.cells.values().map(|c| c.0).sum();
-            r.uplink = self.set.rack_uplink * if mean > 0.0 { own / mean } else { 1.0 };
+            r.uplink = self.set.rack_uplink * if mean > 0.0 { r.links / mean } else { 1.0 };
         }
     }
 
@@ -446,19 +492,44 @@
         s.lost || s.cold_since.is_some_and(|t| t + self.set.rules.cold > self.now)
     }
 
-    /// Rule 4: whether a set-up now stays within the own share of a cold server's budget, taking it for
-    /// no warmer than at its start. Where the share is under one set-up a window, they are spread out.
+    /// This front's part of a cold server's budget, in set-ups a window, taking it for no warmer than at its
+    /// start. Where it is under one, the fronts' turns fall at random: their mean is so low that their sum
+    /// passes the budget by a whole set-up only at `CHANCE` standard deviations.
+    fn cold_share(&self, s: &Server) -> f64 {
+        let r = &self.set.rules;
+        let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
+        let budget = r.fall_multiple * streams / secs(r.cold).max(TINY) * r.cold_from * secs(r.fall_span);
+        let fronts = self.set.fronts.max(1) as f64;
+        if budget >= fronts {
+            return budget / fronts;
+        }
+        // The mean m of n turns a window that solves m + c sqrt(m (1 - m / n)) = budget + 1.
+        let (most, square) = (budget + 1.0, CHANCE * CHANCE);
+        let (a, b) = (1.0 + square / fronts, 2.0 * most + square);
+        let mean = (b - (b * b - 4.0 * a * most * most).max(0.0).sqrt()) / (2.0 * a);
+        (mean.min(budget) / fronts).clamp(TINY, 1.0)
+    }
+
+    /// Rule 4: whether a set-up now stays within the own part. Its first waits for a turn of its own: all
+    /// fronts hear of a start together.
     fn cold_allows(&self, s: &Server) -> bool {
         if !self.is_cold(s) {
             return true;
         }
-        let r = &self.set.rules;
-        let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
-        let per_s = r.fall_multiple * streams / secs(r.cold).max(1e-9) * r.cold_from;
-        let share = per_s * secs(r.fall_span) / self.set.fronts.max(1) as f64;
-        let window = secs(r.fall_span) / share.clamp(1e-9, 1.0);
+        let (share, span) = (self.cold_share(s), secs(self.set.rules.fall_span));
+        let window = span / share.min(1.0);
         let recent = s.sends.iter().filter(|t| secs(self.now - **t) < window).count();
-        ((recent + 1) as f64) <= share.max(1.0)
+        s.turn.is_none_or(|t| t <= self.now) && ((recent + 1) as f64) <= share.max(1.0)
+    }
+
+    /// A server is found to be cold: the own first turn falls somewhere in the time between turns.
+    fn draw_turn(&mut self, server: ServerId) {
+        let chance = self.rng.f64();
+        let Some(s) = self.servers.get(&server) else { return };
+        let window = secs(self.set.rules.fall_span) / self.cold_share(s);
+        let wait = if self.cold_share(s) < 1.0 { window * chance } else { 0.0 };
+        let turn = self.now + Duration::from_secs_f64(wait.min(1e9));
+        self.servers.get_mut(&server).expect("looked up above").turn = Some(turn);
     }
 
     /// A set-up or stream failed there: the server rests, longer each time.
@@ -466,7 +537,12 @@
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.trial = false;
+        let newly = lost && !s.lost;
         s.lost |= lost;
+        if newly {
+            self.draw_turn(server);
+        }
+        let Some(s) = self.servers.get_mut(&server) else { return };
         if now < s.rest_until && s.fails > 0 {
             return; // one trouble, heard of by several sessions
         }
@@ -517,6 +593,8 @@
         if class.floor > top {
             return None;
         }
+        let floor = class.floor;
+        self.look_round();
         let mut rooms = Vec::new();
         for (id, s) in self.servers.iter().filter(|(_, s)| self.usable(call, s)) {
             let (link, rack) = self.use_of(s);
@@ -525,46 +603,62 @@
         self.rng.shuffle(&mut rooms); // ties at random
         rooms.sort_by(|a, b| a.0.total_cmp(&b.0));
         rooms.into_iter().find_map(|(_, id, link, rack)| {
-            let fits = |rung: &usize| self.fits(call, *rung, &self.servers[&id], link, rack, 1.0);
-            (class.floor..=top).rev().find(fits).map(|rung| (id, rung))
+            let fits = |rung: &usize| self.fits(call, *rung, &self.servers[&id], link, rack);
+            (floor..=top).rev().find(fits).map(|rung| (id, rung))
         })
     }
 
     /// Whether a session more at that rung stays under its mark on the link and on the uplink.
-    fn fits(&self, call: &Call, rung: usize, s: &Server, link: f64, rack: (f64, f64), times: f64) -> bool {
-        let n = s.groups.get(&(call.title, call.class, rung)).map_or(0, |g| g[0]);
-        let cost = self.group_cost(s, call.class, rung, n + 1) - self.group_cost(s, call.class, rung, n);
-        let rate = self.group_rate(call.class, rung, n + 1) - self.group_rate(call.class, rung, n);
+    fn fits(&self, call: &Call, rung: usize, s: &Server, link: f64, rack: (f64, f64)) -> bool {
+        let same = |x: &Session| (x.call.title, x.call.class, x.rung) == (call.title, call.class, rung);
+        let joins = self.shares(call.class)
+            && s.sessions.iter().any(|id| *id != call.request && self.sessions.get(id).is_some_and(same));
+        let cost = self.price(s, call.class, rung, joins);
         let mark = self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(TENANT_POWER);
-        link + times * cost <= mark && rack.0 + times * rate / rack.1 <= mark
+        link + cost.link <= mark && rack.0 + cost.rate / rack.1 <= mark
     }
 
     /// Use of a server's link, and use and size of its rack's uplink.
     fn use_of(&self, s: &Server) -> (f64, (f64, f64)) {
         let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
-        let rack = rack.map_or((0.0, f64::INFINITY), |r| (self.rack_used(r), self.uplink(r)));
-        (s.link.used(self.now, self.others()), rack)
+        let rack = rack.map_or((0.0, f64::INFINITY), |r| {
+            let size = self.uplink(r);
+            (r.meter.used(self.now, r.others) * r.uplink / size, size)
+        });
+        (s.link.used(self.now, s.others), rack)
     }
 
     /// Adopted sessions get the rung that an admission would have given them: a predecessor or the set-up's
-    /// default chose theirs. Once for each, on a reading of the link, and within the own part of the room,
-    /// since every front hears of it in the same instant.
+    /// default chose theirs. Once for each, on a reading of the link. All fronts with sessions there hear it
+    /// in the same instant: as many others as the reading tells sessions are taken to do alike.
     fn raise(&mut self, server: ServerId) {
-        let ids = self.sessions.iter().filter(|(_, s)| s.adopted && s.at() == Some(server));
-        let mut ids: Vec<_> = ids.map(|(id, s)| (self.set.classes[s.call.class].worth, *id)).collect();
+        let Some(at) = self.servers.get(&server) else { return };
+        let ids = at.sessions.iter().filter(|id| {
+            self.sessions.get(id).is_some_and(|s| s.adopted && matches!(s.state, State::Playing(..)))
+        });
+        let mut ids: Vec<_> =
+            ids.map(|id| (self.set.classes[self.sessions[id].call.class].worth, *id)).collect();
         ids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in ids {
+            self.look_round();
             let (s, at) = (&self.sessions[&id], &self.servers[&server]);
             let (call, old) = (s.call.clone(), s.rung);
-            let top = call.top.min(self.set.classes[call.class].top).min(self.set.ladder.len() - 1);
+            let class = &self.set.classes[call.class];
+            let top = call.top.min(class.top).min(self.set.ladder.len() - 1);
             let (link, rack) = self.use_of(at);
-            let own = (self.group_cost(at, call.class, old, 1), self.group_rate(call.class, old, 1) / rack.1);
-            let fronts = self.others() + 1.0;
-            let base = (link - own.0 * fronts, (rack.0 - own.1 * fronts, rack.1));
-            let fits = |rung: &usize| self.fits(&call, *rung, at, base.0, base.1, fronts);
+            let own = self.price(at, call.class, old, false);
+            let alike = at.others * at.rated / self.survey.session.max(TINY);
+            let alike = alike.clamp(0.0, self.others());
+            let fits = |rung: &usize| {
+                let new = self.price(at, call.class, *rung, false);
+                let link = link - own.link + (new.link - own.link) * alike;
+                let rack = (rack.0 + ((new.rate - own.rate) * alike - own.rate) / rack.1, rack.1);
+                self.fits(&call, *rung, at, link, rack)
+            };
             let Some(rung) = (old + 1..=top).rev().find(fits) else { continue };
             self.sessions.get_mut(&id).expect("listed above").adopted = false;
             self.set_rung(id, rung);
+            self.survey.at = None;
         }
     }
 
@@ -573,12 +667,12 @@
     fn tenant_worth(&self, tenant: Option<usize>) -> f64 {
         let worth = |i: usize| {
             let quota = self.set.tenants[i].quota / self.set.fronts.max(1) as f64;
-            let within = if quota > 0.0 { (quota / self.traffic[i].0.max(1e-9)).min(1.0) } else { 1.0 };
+            let within = if quota > 0.0 { (quota / self.traffic[i].0.max(TINY)).min(1.0) } else { 1.0 };
             within + (1.0 - within) * self.set.over_share_worth
         };
         let best =
             (0..self.traffic.len()).filter(|i| self.traffic[*i].0 > 0.0).map(worth).fold(0.0, f64::max);
-        tenant.map_or(1.0, |i| (worth(i) / best.max(1e-9)).min(1.0))
+        tenant.map_or(1.0, |i| (worth(i) / best.max(TINY)).min(1.0))
     }
 
     fn take(&mut self, call: &Call) -> bool {
@@ -638,9 +732,11 @@
         let key = (s.call.title, s.call.class, rung);
         *self.seats.entry((key.0, key.1)).or_default() += 1;
         self.set_rung(request, rung);
-        self.sessions.get_mut(&request).expect("looked up above").state = State::Out(server);
+        let s = self.sessions.get_mut(&request).expect("looked up above");
+        s.state = State::Out(server);
         self.out.push(Action::Send(request, server, within));
-        self.book(server, key, 1, 0);
+        self.servers.get_mut(&server).expect("picked among them").sessions.insert(request);
+        self.reckon(server);
         let now = self.now;
         let s = self.servers.get_mut(&server).expect("picked among them");
         s.trial = s.fails > 0;
@@ -670,7 +766,9 @@
         if rung < class.floor || rung > class.top || rung > s.call.top || rung >= self.set.ladder.len() {
             return;
         }
-        self.rebook(request, rung);
+        s.rung = rung;
+        let at = s.at();
+        at.into_iter().for_each(|server| self.reckon(server));
         self.out.push(Action::Rung(request, rung));
     }
 
@@ -703,7 +801,8 @@
             Session { call, state, rung, attempts: 1, over: true, adopted: true, ..Session::default() };
         *self.seats.entry((title, class)).or_default() += 1;
         self.sessions.insert(request, session);
-        self.book(server, (title, class, rung), 1, 1);
+        self.servers.get_mut(&server).expect("looked up above").sessions.insert(request);
+        self.reckon(server);
     }
 
     fn playing(&mut self, request: RequestId, server: ServerId) {
@@ -713,8 +812,7 @@
         }
         s.state = State::Playing(server, self.now);
         s.over = true;
-        let key = (s.call.title, s.call.class, s.rung);
-        self.book(server, key, 0, 1);
+        self.reckon(server);
         self.worked(server);
     }
 
@@ -728,7 +826,6 @@
 
     fn ended(&mut self, request: RequestId, attempt: u32, server: ServerId, outcome: Outcome, closed: bool) {
         let Some(s) = self.sessions.get_mut(&request) else { return };
-        let played = matches!(s.state, State::Playing(..));
         if attempt + 1 != s.attempts || s.state == State::Waiting {
             return;
         }
@@ -739,7 +836,10 @@
         if let Some(n) = self.seats.get_mut(&(key.0, key.1)) {
             *n = n.saturating_sub(1);
         }
-        self.book(server, key, -1, -i32::from(played));
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.sessions.remove(&request);
+        }
+        self.reckon(server);
         // One late answer may be a jam; a second before anything worked is silence.
         let silent = self.servers.get(&server).is_some_and(|s| s.fails > 0);
         match outcome {
@@ -777,6 +877,7 @@
             }
             s.link.read(now, age, x, round);
         }
+        self.survey.at = None;
         if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
             self.racks.entry(rack).or_default().meter.read(now, age, x, round);
         }
@@ -788,7 +889,10 @@
         let young = matches!(s.state, State::Playing(_, t) if self.now - t < self.set.told_late);
         let age = if young { Duration::ZERO } else { self.set.told_late };
         match note {
-            Note::Rung(rung) if rung < self.set.ladder.len() => self.rebook(request, rung),
+            Note::Rung(rung) if rung < self.set.ladder.len() => {
+                s.rung = rung;
+                self.reckon(server);
+            }
             Note::Rung(_) => {}
             Note::Link(x) => self.report(server, Some(age), Report { link: Some(x), rack: None }),
             Note::Rack(x) => self.report(server, Some(age), Report { link: None, rack: Some(x) }),
@@ -807,13 +911,15 @@
         }
         let since = *s.short_since.get_or_insert(now);
         let cell = s.entry.cell;
+        self.look_round();
+        let Some(s) = self.servers.get(&server) else { return };
         let link = s.link.told.unwrap_or(0.0);
         let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
         if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.told.is_none()) {
             // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
             // that came tell the size. Also catches one that sags; errs if the links' readings are old.
-            let size = self.rack_asked(r) * share;
-            let part = (1.0 - size / r.uplink.max(1e-9)).clamp(0.0, 0.9).max(r.missing.at(now));
+            let size = (r.meter.booked + r.others) * r.uplink * share;
+            let part = (1.0 - size / r.uplink.max(TINY)).clamp(0.0, 0.9).max(r.missing.at(now));
             let missing = Fading(part, now);
             self.racks.get_mut(&rack.expect("just read")).expect("just read").missing = missing;
         }
@@ -837,7 +943,8 @@
         let told = self.racks.get(&rack).and_then(|r| r.meter.told);
         let (mut short, mut fine) = (0, 0);
         for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
-            let in_use = s.rate[1] > 0.0 && s.link.own_at(self.now.saturating_sub(self.set.told_late)) > 0.0;
+            let in_use =
+                s.own.playing.rate > 0.0 && s.link.own_at(self.now.saturating_sub(self.set.told_late)) > 0.0;
             match s.share {
                 Some((t, share)) if share < SHORT && t + NOTE_GAP * 2 > self.now => short += 1,
                 _ if in_use => fine += 1,
@@ -868,14 +975,15 @@
             if s.rung > class.floor && s.stepped.is_none_or(|t| t + STEP_GAP <= now) {
                 let (from, to) = (self.set.ladder[s.rung], self.set.ladder[s.rung - 1]);
                 let freed = rate(s.rung) - rate(s.rung - 1);
-                let loss = class.worth * (from.worth - to.worth) / freed.max(1e-9);
+                let loss = class.worth * (from.worth - to.worth) / freed.max(TINY);
                 steps.push((loss, *id, freed));
             }
         }
         steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut excess = asked * (1.0 - share);
         for (_, id, freed) in steps {
-            if excess <= 0.0 {
+            // With few own sessions a whole step frees more than the own part, on all fronts at once.
+            if excess <= 0.0 || self.rng.f64() * freed >= excess {
                 return;
             }
             excess -= freed;
@@ -888,11 +996,11 @@
 }
 
 impl Session {
-    /// The server that it plays at.
+    /// The server that it plays at or is being set up at.
     fn at(&self) -> Option<ServerId> {
         match self.state {
-            State::Playing(server, _) => Some(server),
-            _ => None,
+            State::Waiting => None,
+            State::Out(server) | State::Playing(server, _) => Some(server),
         }
     }
 }
@@ -904,7 +1012,7 @@
     let mut marks = Vec::new();
     for (i, rung) in set.ladder.iter().enumerate() {
         let below = if i <= class.floor { Rung::default() } else { set.ladder[i - 1] };
-        let density = (rung.worth - below.worth) / (rung.rate - below.rate).max(1e-9);
+        let density = (rung.worth - below.worth) / (rung.rate - below.rate).max(TINY);
         best = best.max(density);
         let part = if best > 0.0 { (density / best).clamp(0.0, 1.0) } else { 1.0 };
         marks.push(MARK * part.powf(STEP_POWER));
