--- a/src/brain.rs
+++ b/src/brain.rs
@@ -350,26 +350,31 @@
         };
         // What the others would have if they did as this front does counts as one reading.
         let usual = |pages: &mut dyn Iterator<Item = (f64, &Meter)>| {
-            let (mut size, mut count, mut sum, mut weight) = (0.0, 0.0, 0.0, 0.0);
+            let (mut size, mut count, mut sum, mut weight, mut sq) = (0.0, 0.0, 0.0, 0.0, 0.0);
             for (rated, m) in pages {
                 let w = rated * m.read_at.map_or(0.0, |t| faded(now, t));
                 size += rated;
                 count += 1.0;
                 sum += w * m.base.clamp(0.0, 1.0);
                 weight += w;
+                sq += w * m.base.clamp(0.0, 1.0).powi(2);
             }
             let one = size / f64::max(count, 1.0);
-            (sum + one * others * own / f64::max(size, TINY)) / (weight + one).max(TINY)
+            let prior = others * own / f64::max(size, TINY);
+            let all = (weight + one).max(TINY);
+            let mean = (sum + one * prior) / all;
+            let var = (sq + one * prior * prior) / all - mean * mean;
+            (mean, var.max(0.0).sqrt())
         };
         let session = self.survey.session;
         let serving = |s: &&Server| s.entry.state == Listed::Serving;
-        let mean = usual(&mut self.servers.values().filter(serving).map(|s| (s.rated, &s.link)));
+        let (mean, sd) = usual(&mut self.servers.values().filter(serving).map(|s| (s.rated, &s.link)));
         for s in self.servers.values_mut() {
-            s.others = s.link.others(now, mean, |base| (base * s.rated / session).clamp(0.0, others));
+            s.others = s.link.others(now, mean + sd, |base| (base * s.rated / session).clamp(0.0, others));
         }
         let told = self.racks.values().any(|r| r.meter.told.is_some());
         if told {
-            let mean = usual(&mut self.racks.values().map(|r| (r.uplink, &r.meter)));
+            let (mean, _) = usual(&mut self.racks.values().map(|r| (r.uplink, &r.meter)));
             for r in self.racks.values_mut() {
                 r.others = r.meter.others(now, mean, |base| (base * r.uplink / session).clamp(0.0, others));
             }
@@ -380,7 +385,8 @@
         let mut asked = BTreeMap::<u64, f64>::new();
         for s in self.servers.values() {
             let Some(rack) = self.rack_of(s.entry.cell) else { continue };
-            let part = if s.link.booked + s.others >= 1.0 { mean.min(s.others) } else { s.others };
+            let likely = s.link.others(now, mean, |base| (base * s.rated / session).clamp(0.0, others));
+            let part = if s.link.booked + likely >= 1.0 { mean.min(likely) } else { likely };
             let part = (s.link.booked + part).clamp(0.0, 1.0) - s.link.booked;
             *asked.entry(rack).or_default() += part * self.link_size(s);
         }
