Raising adopted sessions: alike are as many as link and uplink tell; a part of them by chance where room is for a part

Cause: on an uplink the sessions of all its servers change, not those of one link; where all could not be raised none was.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -329,6 +329,10 @@
         (self.set.racks > 0 && self.set.rack_uplink > 0.0).then(|| cell % self.set.racks.max(1))
     }
 
+    fn rack_at(&self, s: &Server) -> Option<&Rack> {
+        self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r))
+    }
+
     /// Works out what is usual and what others are taken to ask, for each link and uplink.
     ///
     /// With many fronts most servers hold no own session and have no reading: they are taken to be as the
@@ -620,14 +624,18 @@
         let joins = self.shares(call.class)
             && s.sessions.iter().any(|id| *id != call.request && self.sessions.get(id).is_some_and(same));
         let cost = self.price(s, call.class, rung, joins);
-        let mark = self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(TENANT_POWER);
+        let mark = self.mark(call, rung);
         link + cost.link <= mark && rack.0 + cost.rate / rack.1 <= mark
     }
 
+    /// The mark up to which a rung is given to this request.
+    fn mark(&self, call: &Call, rung: usize) -> f64 {
+        self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(TENANT_POWER)
+    }
+
     /// Use of a server's link, and use and size of its rack's uplink.
     fn use_of(&self, s: &Server) -> (f64, (f64, f64)) {
-        let rack = self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r));
-        let rack = rack.map_or((0.0, f64::INFINITY), |r| {
+        let rack = self.rack_at(s).map_or((0.0, f64::INFINITY), |r| {
             let size = self.uplink(r);
             (r.meter.used(self.now, r.others) * r.uplink / size, size)
         });
@@ -653,15 +661,28 @@
             let top = call.top.min(class.top).min(self.set.ladder.len() - 1);
             let (link, rack) = self.use_of(at);
             let own = self.price(at, call.class, old, false);
-            let alike = at.others * at.rated / self.survey.session.max(TINY);
-            let alike = alike.clamp(0.0, self.others());
-            let fits = |rung: &usize| {
-                let new = self.price(at, call.class, *rung, false);
-                let link = link - own.link + (new.link - own.link) * alike;
-                let rack = (rack.0 + ((new.rate - own.rate) * alike - own.rate) / rack.1, rack.1);
-                self.fits(&call, *rung, at, link, rack)
+            let alike = |kb: f64| (kb / self.survey.session.max(TINY)).clamp(0.0, self.others());
+            let (near, far) =
+                (alike(at.others * at.rated), alike(self.rack_at(at).map_or(0.0, |r| r.others * r.uplink)));
+            // What everybody's change to a rung adds to the link and to the uplink.
+            let more = |rung: usize| {
+                let new = self.price(at, call.class, rung, false);
+                ((new.link - own.link) * (1.0 + near), (new.rate - own.rate) * (1.0 + far) / rack.1)
+            };
+            // Where a rung has room for some of them only, so many take it as have room, by chance.
+            let chance = |rung: usize| {
+                let mark = self.mark(&call, rung);
+                let (less, all) = (more(rung - 1), more(rung));
+                let part = |room: f64, less: f64, all: f64| (room - less) / (all - less).max(TINY);
+                let part = |room: f64, less: f64, all: f64, n: f64| {
+                    let p = part(room, less, all);
+                    p - (p * (1.0 - p) / (1.0 + n)).max(0.0).sqrt()
+                };
+                part(mark - link, less.0, all.0, near).min(part(mark - rack.0, less.1, all.1, far))
             };
-            let Some(rung) = (old + 1..=top).rev().find(fits) else { continue };
+            let chances: Vec<_> = (old + 1..=top).map(|rung| (rung, chance(rung))).collect();
+            let drawn = chances.into_iter().rev().find(|c| c.1 > 0.0 && (c.1 >= 1.0 || self.rng.f64() < c.1));
+            let Some((rung, _)) = drawn else { continue };
             self.sessions.get_mut(&id).expect("listed above").adopted = false;
             self.set_rung(id, rung);
             self.survey.at = None;
