--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,33 +65,32 @@
     booked: f64,
     /// What the own playing sessions ask, with its recent past: reports are late.
     playing: VecDeque<(Duration, f64)>,
+    /// The last reading less what the own sessions asked at the time that it speaks of.
     base: f64,
-    /// When it was read, and what the own sessions asked at the time that it speaks of.
-    read_at: Option<Duration>,
     own_read: f64,
-    /// What short delivery adds over what is read: a later reading of a link that comes and goes does
-    /// not clear it.
+    read_at: Option<Duration>,
+    /// What short delivery adds: a later reading of a link that comes and goes does not clear it.
     short: Fading,
-    /// The newest reading, as it was told.
-    told: Option<f64>,
     /// When sessions were last stepped down for it.
     stepped: Duration,
+    /// What others are taken to ask, as of the last look round.
+    others: f64,
 }
 
 impl Meter {
-    /// What others ask of it: the last reading less the own part, fading to what is usual in the fleet;
-    /// and what those who heard the same reading have booked since, taking them to do as this front does.
-    fn others(&self, now: Duration, usual: f64, hearers: impl Fn(f64) -> f64) -> f64 {
+    /// What others ask: the base, fading to what is usual in the fleet, and what those who heard the same
+    /// reading (each with a session here, `streams` of them fill it) have booked since, if they do as this
+    /// front does.
+    fn others(&self, now: Duration, usual: f64, streams: f64, fronts: f64) -> f64 {
+        let hearers = |base: f64| (base * streams).clamp(0.0, fronts);
         let Some(t) = self.read_at else { return usual.max(self.booked * hearers(usual)) };
-        let fade = faded(now, t);
-        let since = (self.booked - self.own_read).max(0.0);
-        let since = if since > 0.0 { since * hearers(self.base) } else { 0.0 };
-        (self.base + since) * fade + usual * (1.0 - fade)
+        let since = (self.booked - self.own_read).max(0.0) * hearers(self.base);
+        (self.base + since) * faded(now, t) + usual * (1.0 - faded(now, t))
     }
 
-    /// Use as the ledger sees it. Short delivery counts over what is read.
-    fn used(&self, now: Duration, others: f64) -> f64 {
-        self.booked + others.max(self.short.at(now))
+    /// Use as the ledger sees it.
+    fn used(&self, now: Duration) -> f64 {
+        self.booked + self.others.max(self.short.at(now))
     }
 
     fn record(&mut self, now: Duration, booked: f64, playing: f64, keep: Duration) {
@@ -108,20 +107,23 @@
         past.map_or(0.0, |p| p.1)
     }
 
-    /// A reading taken `age` ago: the base is what the own sessions of that time don't explain.
-    ///
-    /// One that finds room a whole round of notes after the last short delivery ends that: room stood empty
-    /// for half a minute after each short sag. A link that comes and goes more slowly is filled again.
+    /// A reading taken `age` ago. One that finds room a whole round of notes after the last short delivery
+    /// ends that: room stood empty for half a minute after each short sag. A link that comes and goes more
+    /// slowly is filled again.
     fn read(&mut self, now: Duration, age: Duration, reading: f64, round: Duration) {
         if reading < MARK && self.short.1 + round < now {
             self.short = Fading::default();
         }
-        self.told = Some(reading);
         self.read_at = Some(now);
         self.own_read = self.own_at(now.saturating_sub(age));
         self.base = reading - self.own_read;
     }
 
+    /// The newest reading, as it was told.
+    fn told(&self) -> Option<f64> {
+        self.read_at.map(|_| self.base + self.own_read)
+    }
+
     /// Short delivery: the page reads full from now on, fading.
     fn fill(&mut self, now: Duration) {
         self.short = Fading(1.0 - self.booked, now);
@@ -133,8 +135,6 @@
 struct Server {
     entry: Entry,
     link: Meter,
-    /// What others are taken to ask of the link, as of the last survey.
-    others: f64,
     /// Size of its link as told.
     rated: f64,
     /// What the own sessions there take.
@@ -167,9 +167,7 @@
     /// The part of it that short delivery showed to be missing.
     missing: Fading,
     meter: Meter,
-    /// What others are taken to ask of it, as of the last survey.
-    others: f64,
-    /// What its links can carry as told, and how much of that its servers in service can.
+    /// What its links carry as told.
     links: f64,
     own: Own,
 }
@@ -187,19 +185,11 @@
     rate: f64,
 }
 
-impl std::ops::AddAssign for Price {
-    fn add_assign(&mut self, other: Price) {
-        self.link += other.link;
-        self.rate += other.rate;
-    }
-}
-
-/// What the front takes to be usual in the fleet, worked out once an instant.
-#[derive(Default)]
-struct Survey {
-    at: Option<Duration>,
-    /// Mean rate of an own session, kB a second.
-    session: f64,
+/// Use of a server's link and of its rack's uplink, and the size of that.
+struct Use {
+    link: f64,
+    rack: f64,
+    uplink: f64,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -245,7 +235,9 @@
     waiting: Vec<RequestId>,
     /// Servers whose links were read in this instant.
     read: Vec<ServerId>,
-    survey: Survey,
+    /// When others' parts were last worked out, and the mean rate of an own session then.
+    looked: Option<Duration>,
+    session_rate: f64,
     /// For each class and rung: the mark of the ledger up to which it is given.
     marks: Vec<Vec<f64>>,
 }
@@ -268,7 +260,8 @@
             extra: VecDeque::new(),
             waiting: Vec::new(),
             read: Vec::new(),
-            survey: Survey::default(),
+            looked: None,
+            session_rate: TINY,
             marks,
         }
     }
@@ -333,70 +326,45 @@
         self.rack_of(s.entry.cell).and_then(|r| self.racks.get(&r))
     }
 
-    /// Works out what is usual and what others are taken to ask, for each link and uplink.
+    /// Works out what others ask of each link and uplink, once an instant.
     ///
     /// With many fronts most servers hold no own session and have no reading: they are taken to be as the
     /// read ones are, and before any reading the others to do as this front does, spread over the fleet.
     fn look_round(&mut self) {
-        if self.survey.at == Some(self.now) {
+        if self.looked == Some(self.now) {
             return;
         }
-        let (now, others) = (self.now, self.others());
-        let (mut own, mut n) = (0.0, 0.0);
-        for s in self.sessions.values().filter(|s| s.state != State::Waiting) {
-            let rate = self.set.ladder[s.rung].rate * self.set.classes[s.call.class].scale;
-            own += rate;
-            n += 1.0;
-        }
-        self.survey = Survey {
-            at: Some(now),
-            session: if n > 0.0 { own / n } else { self.set.ladder.first().map_or(0.0, |r| r.rate) },
-        };
-        // What the others would have if they did as this front does counts as one reading.
-        let usual = |pages: &mut dyn Iterator<Item = (f64, &Meter)>| {
-            let (mut size, mut count, mut sum, mut weight, mut sq) = (0.0, 0.0, 0.0, 0.0, 0.0);
-            for (rated, m) in pages {
-                let w = rated * m.read_at.map_or(0.0, |t| faded(now, t));
-                size += rated;
-                count += 1.0;
-                sum += w * m.base.clamp(0.0, 1.0);
-                weight += w;
-                sq += w * m.base.clamp(0.0, 1.0).powi(2);
-            }
-            let one = size / f64::max(count, 1.0);
-            let prior = others * own / f64::max(size, TINY);
-            let all = (weight + one).max(TINY);
-            let mean = (sum + one * prior) / all;
-            let var = (sq + one * prior * prior) / all - mean * mean;
-            (mean, var.max(0.0).sqrt())
-        };
-        let session = self.survey.session;
-        let serving = |s: &&Server| s.entry.state == Listed::Serving;
-        let (mean, sd) = usual(&mut self.servers.values().filter(serving).map(|s| (s.rated, &s.link)));
+        let (now, fronts) = (self.now, self.others());
+        let held = self.sessions.values().filter(|s| s.state != State::Waiting);
+        let rates = held.map(|s| self.set.ladder[s.rung].rate * self.set.classes[s.call.class].scale);
+        let (own, n) = rates.fold((0.0, 0.0), |(sum, n), rate| (sum + rate, n + 1.0));
+        let one = if n > 0.0 { own / n } else { self.set.ladder.first().map_or(0.0, |r| r.rate) }.max(TINY);
+        (self.looked, self.session_rate) = (Some(now), one);
+        let serving = self.servers.values().filter(|s| s.entry.state == Listed::Serving);
+        let (mean, spread) = usual(now, own * fronts, serving.map(|s| (s.rated, &s.link)));
         for s in self.servers.values_mut() {
-            s.others = s.link.others(now, mean + sd, |base| (base * s.rated / session).clamp(0.0, others));
+            // Half of what is unread is over the mean, and a short link costs more than an empty one.
+            s.link.others = s.link.others(now, mean + spread, s.rated / one, fronts);
         }
-        let told = self.racks.values().any(|r| r.meter.told.is_some());
-        if told {
-            let (mean, _) = usual(&mut self.racks.values().map(|r| (r.uplink, &r.meter)));
+        if self.racks.values().any(|r| r.meter.read_at.is_some()) {
+            let (mean, _) = usual(now, own * fronts, self.racks.values().map(|r| (r.uplink, &r.meter)));
             for r in self.racks.values_mut() {
-                r.others = r.meter.others(now, mean, |base| (base * r.uplink / session).clamp(0.0, others));
+                r.meter.others = r.meter.others(now, mean, r.uplink / one, fronts);
             }
             return;
         }
         // Where readings of uplinks are not told: what the links are read to ask. A sick link's reading tells
         // of what it gives, not of what is asked.
-        let mut asked = BTreeMap::<u64, f64>::new();
+        self.racks.values_mut().for_each(|r| r.meter.others = 0.0);
         for s in self.servers.values() {
             let Some(rack) = self.rack_of(s.entry.cell) else { continue };
-            let likely = s.link.others(now, mean, |base| (base * s.rated / session).clamp(0.0, others));
+            let likely = s.link.others(now, mean, s.rated / one, fronts);
             let part = if s.link.booked + likely >= 1.0 { mean.min(likely) } else { likely };
             let part = (s.link.booked + part).clamp(0.0, 1.0) - s.link.booked;
-            *asked.entry(rack).or_default() += part * self.link_size(s);
-        }
-        for (rack, asked) in asked {
-            let r = self.racks.entry(rack).or_default();
-            r.others = asked / r.uplink.max(TINY);
+            let asked = part * self.link_size(s);
+            if let Some(r) = self.racks.get_mut(&rack) {
+                r.meter.others += asked / r.uplink.max(TINY);
+            }
         }
     }
 
@@ -422,9 +390,10 @@
         for x in s.sessions.iter().filter_map(|id| self.sessions.get(id)) {
             let joins = self.shares(x.call.class) && !streams.insert((x.call.title, x.call.class, x.rung));
             let price = self.price(s, x.call.class, x.rung, joins);
-            own.booked += price;
-            if matches!(x.state, State::Playing(..)) {
-                own.playing += price;
+            let playing = f64::from(u8::from(matches!(x.state, State::Playing(..))));
+            for (sum, part) in [(&mut own.booked, 1.0), (&mut own.playing, playing)] {
+                sum.link += price.link * part;
+                sum.rate += price.rate * part;
             }
         }
         let (now, keep, rack) = (self.now, self.set.told_late + REPORT_AGE, self.rack_of(s.entry.cell));
@@ -474,7 +443,7 @@
             }
         }
         self.size_links();
-        self.survey.at = None;
+        self.looked = None;
     }
 
     /// Links by their weight, or by their kind's streams; uplinks by the rated links of their cells.
@@ -605,27 +574,24 @@
         }
         let floor = class.floor;
         self.look_round();
-        let mut rooms = Vec::new();
-        for (id, s) in self.servers.iter().filter(|(_, s)| self.usable(call, s)) {
-            let (link, rack) = self.use_of(s);
-            rooms.push((link.max(rack.0), *id, link, rack));
-        }
+        let holders = self.servers.iter().filter(|(_, s)| self.usable(call, s));
+        let mut rooms: Vec<_> = holders.map(|(id, s)| (self.use_of(s), *id)).collect();
         self.rng.shuffle(&mut rooms); // ties at random
-        rooms.sort_by(|a, b| a.0.total_cmp(&b.0));
-        rooms.into_iter().find_map(|(_, id, link, rack)| {
-            let fits = |rung: &usize| self.fits(call, *rung, &self.servers[&id], link, rack);
+        rooms.sort_by(|a, b| a.0.link.max(a.0.rack).total_cmp(&b.0.link.max(b.0.rack)));
+        rooms.into_iter().find_map(|(used, id)| {
+            let fits = |rung: &usize| self.fits(call, *rung, &self.servers[&id], &used);
             (floor..=top).rev().find(fits).map(|rung| (id, rung))
         })
     }
 
     /// Whether a session more at that rung stays under its mark on the link and on the uplink.
-    fn fits(&self, call: &Call, rung: usize, s: &Server, link: f64, rack: (f64, f64)) -> bool {
+    fn fits(&self, call: &Call, rung: usize, s: &Server, used: &Use) -> bool {
         let same = |x: &Session| (x.call.title, x.call.class, x.rung) == (call.title, call.class, rung);
         let joins = self.shares(call.class)
             && s.sessions.iter().any(|id| *id != call.request && self.sessions.get(id).is_some_and(same));
         let cost = self.price(s, call.class, rung, joins);
         let mark = self.mark(call, rung);
-        link + cost.link <= mark && rack.0 + cost.rate / rack.1 <= mark
+        used.link + cost.link <= mark && used.rack + cost.rate / used.uplink <= mark
     }
 
     /// The mark up to which a rung is given to this request.
@@ -633,59 +599,56 @@
         self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(TENANT_POWER)
     }
 
-    /// Use of a server's link, and use and size of its rack's uplink.
-    fn use_of(&self, s: &Server) -> (f64, (f64, f64)) {
-        let rack = self.rack_at(s).map_or((0.0, f64::INFINITY), |r| {
-            let size = self.uplink(r);
-            (r.meter.used(self.now, r.others) * r.uplink / size, size)
-        });
-        (s.link.used(self.now, s.others), rack)
+    fn use_of(&self, s: &Server) -> Use {
+        let link = s.link.used(self.now);
+        let Some(r) = self.rack_at(s) else { return Use { link, rack: 0.0, uplink: f64::INFINITY } };
+        let uplink = self.uplink(r);
+        Use { link, rack: r.meter.used(self.now) * r.uplink / uplink, uplink }
     }
 
     /// Adopted sessions get the rung that an admission would have given them: a predecessor or the set-up's
     /// default chose theirs. Once for each, on a reading of the link. All fronts with sessions there hear it
     /// in the same instant: as many others as the reading tells sessions are taken to do alike.
+    ///
+    /// Where a rung has room for some of them only, so many take it as have room, less a spread of their number.
     fn raise(&mut self, server: ServerId) {
         let Some(at) = self.servers.get(&server) else { return };
-        let ids = at.sessions.iter().filter(|id| {
-            self.sessions.get(id).is_some_and(|s| s.adopted && matches!(s.state, State::Playing(..)))
-        });
-        let mut ids: Vec<_> =
-            ids.map(|id| (self.set.classes[self.sessions[id].call.class].worth, *id)).collect();
+        let known = at.sessions.iter().filter_map(|id| Some((self.sessions.get(id)?, *id)));
+        let adopted = known.filter(|(s, _)| s.adopted && matches!(s.state, State::Playing(..)));
+        let mut ids: Vec<_> = adopted.map(|(s, id)| (self.set.classes[s.call.class].worth, id)).collect();
         ids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in ids {
             self.look_round();
             let (s, at) = (&self.sessions[&id], &self.servers[&server]);
-            let (call, old) = (s.call.clone(), s.rung);
-            let class = &self.set.classes[call.class];
-            let top = call.top.min(class.top).min(self.set.ladder.len() - 1);
-            let (link, rack) = self.use_of(at);
-            let own = self.price(at, call.class, old, false);
-            let alike = |kb: f64| (kb / self.survey.session.max(TINY)).clamp(0.0, self.others());
-            let (near, far) =
-                (alike(at.others * at.rated), alike(self.rack_at(at).map_or(0.0, |r| r.others * r.uplink)));
-            // What everybody's change to a rung adds to the link and to the uplink.
-            let more = |rung: usize| {
-                let new = self.price(at, call.class, rung, false);
-                ((new.link - own.link) * (1.0 + near), (new.rate - own.rate) * (1.0 + far) / rack.1)
-            };
-            // Where a rung has room for some of them only, so many take it as have room, by chance.
+            let (call, old) = (&s.call, s.rung);
+            let top = call.top.min(self.set.classes[call.class].top).min(self.set.ladder.len() - 1);
+            let used = self.use_of(at);
+            let alike = |kb: f64| 1.0 + (kb / self.session_rate).clamp(0.0, self.others());
+            let near = alike(at.link.others * at.rated);
+            let far = alike(self.rack_at(at).map_or(0.0, |r| r.meter.others * r.uplink));
+            let price = |rung: usize| self.price(at, call.class, rung, false);
             let chance = |rung: usize| {
-                let mark = self.mark(&call, rung);
-                let (less, all) = (more(rung - 1), more(rung));
-                let part = |room: f64, less: f64, all: f64| (room - less) / (all - less).max(TINY);
-                let part = |room: f64, less: f64, all: f64, n: f64| {
-                    let p = part(room, less, all);
-                    p - (p * (1.0 - p) / (1.0 + n)).max(0.0).sqrt()
+                let (mark, old, less, new) =
+                    (self.mark(call, rung), price(old), price(rung - 1), price(rung));
+                let part = |used: f64, old: f64, less: f64, new: f64, n: f64| {
+                    let p = ((mark - used) / n - (less - old)) / (new - less).max(TINY);
+                    p - (p * (1.0 - p) / n).max(0.0).sqrt()
                 };
-                part(mark - link, less.0, all.0, near).min(part(mark - rack.0, less.1, all.1, far))
+                let rate = |p: &Price| p.rate / used.uplink;
+                part(used.link, old.link, less.link, new.link, near).min(part(
+                    used.rack,
+                    rate(&old),
+                    rate(&less),
+                    rate(&new),
+                    far,
+                ))
             };
             let chances: Vec<_> = (old + 1..=top).map(|rung| (rung, chance(rung))).collect();
             let drawn = chances.into_iter().rev().find(|c| c.1 > 0.0 && (c.1 >= 1.0 || self.rng.f64() < c.1));
             let Some((rung, _)) = drawn else { continue };
             self.sessions.get_mut(&id).expect("listed above").adopted = false;
             self.set_rung(id, rung);
-            self.survey.at = None;
+            self.looked = None;
         }
     }
 
@@ -904,7 +867,7 @@
             }
             s.link.read(now, age, x, round);
         }
-        self.survey.at = None;
+        self.looked = None;
         if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
             self.racks.entry(rack).or_default().meter.read(now, age, x, round);
         }
@@ -940,12 +903,12 @@
         let cell = s.entry.cell;
         self.look_round();
         let Some(s) = self.servers.get(&server) else { return };
-        let link = s.link.told.unwrap_or(0.0);
+        let link = s.link.told().unwrap_or(0.0);
         let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
-        if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.told.is_none()) {
+        if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.read_at.is_none()) {
             // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
             // that came tell the size. Also catches one that sags; errs if the links' readings are old.
-            let size = (r.meter.booked + r.others) * r.uplink * share;
+            let size = (r.meter.booked + r.meter.others) * r.uplink * share;
             let part = (1.0 - size / r.uplink.max(TINY)).clamp(0.0, 0.9).max(r.missing.at(now));
             let missing = Fading(part, now);
             self.racks.get_mut(&rack.expect("just read")).expect("just read").missing = missing;
@@ -967,7 +930,7 @@
     /// Guards against one sick server (silent, slow, flapping link) that makes its rack look full, by
     /// which the front would refuse half its fleet. It errs while only one server there is in use.
     fn rack_short(&self, rack: u64, link: f64) -> bool {
-        let told = self.racks.get(&rack).and_then(|r| r.meter.told);
+        let told = self.racks.get(&rack).and_then(|r| r.meter.told());
         let (mut short, mut fine) = (0, 0);
         for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
             let in_use =
@@ -1046,3 +1009,18 @@
     }
     marks
 }
+
+/// Mean and spread of the bases of these pages (size and page), by how fresh they are. What the others
+/// would ask if they did as this front does (`asked` of all) counts as one reading.
+fn usual<'a>(now: Duration, asked: f64, pages: impl Iterator<Item = (f64, &'a Meter)>) -> (f64, f64) {
+    let (mut size, mut count, mut sum, mut squares, mut weight) = (0.0, 0.0, 0.0, 0.0, 0.0);
+    for (rated, m) in pages {
+        let (base, w) = (m.base.clamp(0.0, 1.0), rated * m.read_at.map_or(0.0, |t| faded(now, t)));
+        (size, count, weight) = (size + rated, count + 1.0, weight + w);
+        (sum, squares) = (sum + w * base, squares + w * base * base);
+    }
+    let (one, prior) = (size / f64::max(count, 1.0), asked / f64::max(size, TINY));
+    let all = (weight + one).max(TINY);
+    let mean = (sum + one * prior) / all;
+    (mean, ((squares + one * prior * prior) / all - mean * mean).max(0.0).sqrt())
+}
