--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,6 @@
 const CHANCE: f64 = 2.0;
 /// How much lower the mark of a step of lesser worth per kB is: the mark goes with this power of it.
 const STEP_POWER: f64 = 0.15;
-/// The same for a tenant past its share; weaker, for the room kept may find no better use.
-const TENANT_POWER: f64 = 0.1;
 /// Usual age of a load report that comes without one: about half of a usual refresh and the way.
 const REPORT_AGE: Duration = Duration::from_millis(500);
 /// First rest of a server after a failure, doubled for each further one...
@@ -30,12 +28,14 @@
 const LONGEST_REST: Duration = Duration::from_secs(8);
 /// An attempt gets this part of the class's aim, so that a second one can still meet the aim.
 const TRY_PART: f64 = 0.5;
-/// Span over which a tenant's traffic is averaged.
-const TENANT_SPAN: f64 = 20.0;
 /// Time between notes of short delivery (the wire's own).
 const NOTE_GAP: Duration = Duration::from_secs(1);
 /// What stands in for zero where a size is divided by.
 const TINY: f64 = 1e-9;
+/// What stands in for never, in seconds.
+const LONG: f64 = 1e6;
+/// An uplink is never taken to be smaller than what this leaves: links' readings are rough.
+const MOST_MISSING: f64 = 0.9;
 /// The timer token for asking for the list again.
 const ASK_AGAIN: u64 = 1;
 
@@ -143,19 +143,14 @@
     cold_since: Option<Duration>,
     /// It was seen to fail in a way that may mean a restart: cold when it returns.
     lost: bool,
-    /// Own sends while cold.
-    sends: VecDeque<Duration>,
     fails: u32,
     rest_until: Duration,
     /// An attempt that shows whether it is back is out.
     trial: bool,
-    /// The last note of a share delivered, and since when it is short.
-    share: Option<(Duration, f64)>,
-    short_since: Option<Duration>,
-    /// When a reading last led to raising sessions.
-    noted: Duration,
-    /// When this front's first set-up may go to it while it is cold.
-    turn: Option<Duration>,
+    /// When short delivery was last noted, if that was the last note of it.
+    short_at: Option<Duration>,
+    /// When this front's next set-up may go to it while it is cold.
+    turn: Duration,
     /// Own sessions there, set-ups included.
     sessions: BTreeSet<RequestId>,
 }
@@ -172,19 +167,20 @@
     own: Own,
 }
 
-/// What sessions take: shares of a link, and kB a second; booked, and of that playing.
-#[derive(Clone, Copy, Default)]
-struct Own {
-    booked: Price,
-    playing: Price,
-}
-
+/// What sessions take: a share of a link, and kB a second.
 #[derive(Clone, Copy, Default)]
 struct Price {
     link: f64,
     rate: f64,
 }
 
+/// The price of the own sessions booked, and of those of them that play.
+#[derive(Clone, Copy, Default)]
+struct Own {
+    booked: Price,
+    playing: Price,
+}
+
 /// Use of a server's link and of its rack's uplink, and the size of that.
 struct Use {
     link: f64,
@@ -227,8 +223,6 @@
     sessions: BTreeMap<RequestId, Session>,
     /// Sessions by title and class, from send to final outcome.
     seats: BTreeMap<(TitleId, usize), usize>,
-    /// Recent rate of first tries by tenant, and of when it is.
-    traffic: Vec<(f64, Duration)>,
     /// Requests taken and further attempts made, within the ration's span.
     taken: VecDeque<Duration>,
     extra: VecDeque<Duration>,
@@ -247,7 +241,6 @@
     pub fn new(set: Settings, seed: u64) -> Self {
         let marks = set.classes.iter().map(|c| marks(&set, c)).collect();
         Brain {
-            traffic: vec![(0.0, Duration::ZERO); set.tenants.len()],
             set,
             rng: fastrand::Rng::with_seed(seed),
             now: Duration::ZERO,
@@ -284,7 +277,7 @@
                 Event::Playing(request, _, server, _) => self.playing(*request, *server),
                 Event::Note(request, server, note) => self.note(*request, *server, *note),
                 Event::Ended(request, attempt, server, outcome, closed, report) => {
-                    self.report(*server, None, *report);
+                    self.report(*server, REPORT_AGE, *report);
                     self.ended(*request, *attempt, *server, *outcome, *closed)
                 }
                 Event::Gone(request) => self.gone(*request),
@@ -437,9 +430,9 @@
             if restarted {
                 // A new start ends what was held against the old process.
                 (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
-            }
-            if restarted && is_cold {
-                self.draw_turn(e.server);
+                if is_cold {
+                    self.draw_turn(e.server);
+                }
             }
         }
         self.size_links();
@@ -471,44 +464,30 @@
         s.lost || s.cold_since.is_some_and(|t| t + self.set.rules.cold > self.now)
     }
 
-    /// This front's part of a cold server's budget, in set-ups a window, taking it for no warmer than at its
-    /// start. Where it is under one, the fronts' turns fall at random: their mean is so low that their sum
-    /// passes the budget by a whole set-up only at `CHANCE` standard deviations.
-    fn cold_share(&self, s: &Server) -> f64 {
+    /// Rule 4: time between this front's set-ups at a cold server, taking it for no warmer than at its start.
+    ///
+    /// Where the part is under one set-up a window, the fronts' turns fall at random: their mean m is so low
+    /// that their sum passes the budget by a whole set-up only at `CHANCE` standard deviations. It solves
+    /// m + c sqrt(m (1 - m / n)) = budget + 1.
+    fn cold_gap(&self, s: &Server) -> Duration {
         let r = &self.set.rules;
         let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
         let budget = r.fall_multiple * streams / secs(r.cold).max(TINY) * r.cold_from * secs(r.fall_span);
         let fronts = self.set.fronts.max(1) as f64;
-        if budget >= fronts {
-            return budget / fronts;
-        }
-        // The mean m of n turns a window that solves m + c sqrt(m (1 - m / n)) = budget + 1.
         let (most, square) = (budget + 1.0, CHANCE * CHANCE);
         let (a, b) = (1.0 + square / fronts, 2.0 * most + square);
         let mean = (b - (b * b - 4.0 * a * most * most).max(0.0).sqrt()) / (2.0 * a);
-        (mean.min(budget) / fronts).clamp(TINY, 1.0)
+        let part = if budget >= fronts { (budget / fronts).floor() } else { mean.min(budget) / fronts };
+        Duration::from_secs_f64((secs(r.fall_span) / part.max(TINY)).min(LONG))
     }
 
-    /// Rule 4: whether a set-up now stays within the own part. Its first waits for a turn of its own: all
-    /// fronts hear of a start together.
-    fn cold_allows(&self, s: &Server) -> bool {
-        if !self.is_cold(s) {
-            return true;
-        }
-        let (share, span) = (self.cold_share(s), secs(self.set.rules.fall_span));
-        let window = span / share.min(1.0);
-        let recent = s.sends.iter().filter(|t| secs(self.now - **t) < window).count();
-        s.turn.is_none_or(|t| t <= self.now) && ((recent + 1) as f64) <= share.max(1.0)
-    }
-
-    /// A server is found to be cold: the own first turn falls somewhere in the time between turns.
+    /// A server is found to be cold. All fronts hear of a start together: each waits for a turn of its own.
     fn draw_turn(&mut self, server: ServerId) {
         let chance = self.rng.f64();
         let Some(s) = self.servers.get(&server) else { return };
-        let window = secs(self.set.rules.fall_span) / self.cold_share(s);
-        let wait = if self.cold_share(s) < 1.0 { window * chance } else { 0.0 };
-        let turn = self.now + Duration::from_secs_f64(wait.min(1e9));
-        self.servers.get_mut(&server).expect("looked up above").turn = Some(turn);
+        let gap = self.cold_gap(s);
+        let wait = if gap > self.set.rules.fall_span { gap.mul_f64(chance) } else { Duration::ZERO };
+        self.servers.get_mut(&server).expect("looked up above").turn = self.now + wait;
     }
 
     /// A set-up or stream failed there: the server rests, longer each time.
@@ -516,9 +495,7 @@
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.trial = false;
-        let newly = lost && !s.lost;
-        s.lost |= lost;
-        if newly {
+        if lost && !std::mem::replace(&mut s.lost, true) {
             self.draw_turn(server);
         }
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -562,7 +539,7 @@
             && self.holds(call, s)
             && s.rest_until <= self.now
             && (s.fails == 0 || (!s.trial && !class.at_most_once))
-            && self.cold_allows(s)
+            && (!self.is_cold(s) || s.turn <= self.now)
     }
 
     /// The holder with the most room on link and uplink, and the highest rung that fits there.
@@ -590,15 +567,10 @@
         let joins = self.shares(call.class)
             && s.sessions.iter().any(|id| *id != call.request && self.sessions.get(id).is_some_and(same));
         let cost = self.price(s, call.class, rung, joins);
-        let mark = self.mark(call, rung);
+        let mark = self.marks[call.class][rung];
         used.link + cost.link <= mark && used.rack + cost.rate / used.uplink <= mark
     }
 
-    /// The mark up to which a rung is given to this request.
-    fn mark(&self, call: &Call, rung: usize) -> f64 {
-        self.marks[call.class][rung] * self.tenant_worth(call.tenant).powf(TENANT_POWER)
-    }
-
     fn use_of(&self, s: &Server) -> Use {
         let link = s.link.used(self.now);
         let Some(r) = self.rack_at(s) else { return Use { link, rack: 0.0, uplink: f64::INFINITY } };
@@ -629,7 +601,7 @@
             let price = |rung: usize| self.price(at, call.class, rung, false);
             let chance = |rung: usize| {
                 let (mark, old, less, new) =
-                    (self.mark(call, rung), price(old), price(rung - 1), price(rung));
+                    (self.marks[call.class][rung], price(old), price(rung - 1), price(rung));
                 let part = |used: f64, old: f64, less: f64, new: f64, n: f64| {
                     let p = ((mark - used) / n - (less - old)) / (new - less).max(TINY);
                     p - (p * (1.0 - p) / n).max(0.0).sqrt()
@@ -652,34 +624,12 @@
         }
     }
 
-    /// Expected worth of a tenant's next session, beside that of the best tenant's: traffic past a share is
-    /// worth little, but room is not kept for what does not come.
-    fn tenant_worth(&self, tenant: Option<usize>) -> f64 {
-        let worth = |i: usize| {
-            let quota = self.set.tenants[i].quota / self.set.fronts.max(1) as f64;
-            let within = if quota > 0.0 { (quota / self.traffic[i].0.max(TINY)).min(1.0) } else { 1.0 };
-            within + (1.0 - within) * self.set.over_share_worth
-        };
-        let best =
-            (0..self.traffic.len()).filter(|i| self.traffic[*i].0 > 0.0).map(worth).fold(0.0, f64::max);
-        tenant.map_or(1.0, |i| (worth(i) / best.max(TINY)).min(1.0))
-    }
-
     fn take(&mut self, call: &Call) -> bool {
         if self.sessions.contains_key(&call.request) {
             return false;
         }
         self.taken.push_back(self.now);
-        let mut call = call.clone();
-        if call.tenant.is_some_and(|t| t >= self.set.tenants.len()) {
-            call.tenant = None;
-        }
-        if let (Some(i), false) = (call.tenant, call.again) {
-            let (rate, since) = self.traffic[i];
-            let left = rate * (-secs(self.now - since) / TENANT_SPAN).exp();
-            self.traffic[i] = (left + 1.0 / TENANT_SPAN, self.now);
-        }
-        self.sessions.insert(call.request, Session { call, ..Session::default() });
+        self.sessions.insert(call.request, Session { call: call.clone(), ..Session::default() });
         true
     }
 
@@ -702,7 +652,6 @@
     /// The one place that sends. What rules 1 to 5 ask is checked by `usable`, `place` and here.
     fn send(&mut self, request: RequestId, server: ServerId, rung: usize) {
         let further = self.ration_allows();
-        let cold = self.servers.get(&server).is_some_and(|s| self.is_cold(s));
         let Some(s) = self.sessions.get_mut(&request) else { return };
         let class = &self.set.classes[s.call.class];
         let left = s.call.deadline.saturating_sub(self.now);
@@ -725,17 +674,12 @@
         let s = self.sessions.get_mut(&request).expect("looked up above");
         s.state = State::Out(server);
         self.out.push(Action::Send(request, server, within));
-        self.servers.get_mut(&server).expect("picked among them").sessions.insert(request);
-        self.reckon(server);
-        let now = self.now;
+        let (gap, now) = (self.cold_gap(&self.servers[&server]), self.now);
         let s = self.servers.get_mut(&server).expect("picked among them");
+        s.sessions.insert(request);
         s.trial = s.fails > 0;
-        if cold {
-            s.sends.push_back(now);
-            while s.sends.len() > 64 {
-                s.sends.pop_front();
-            }
-        }
+        s.turn = now + gap;
+        self.reckon(server);
     }
 
     /// Rule 6: whether one more further attempt is within the ration.
@@ -853,20 +797,12 @@
         }
     }
 
-    /// A reading, of a note of that age or (none) one that came along with an outcome.
-    fn report(&mut self, server: ServerId, noted: Option<Duration>, report: Report) {
-        let age = noted.unwrap_or(REPORT_AGE);
+    /// A reading of that age. Only notes raise sessions: of many noisy readings the lowest would decide.
+    fn report(&mut self, server: ServerId, age: Duration, report: Report) {
         let (now, round) = (self.now, self.set.told_every + self.set.told_late);
         let Some(s) = self.servers.get_mut(&server) else { return };
         let cell = s.entry.cell;
-        if let Some(x) = report.link {
-            // Many noisy readings would let the lowest decide: only where the regular notes stay out.
-            if noted.is_some() || s.noted + round * 2 < now {
-                self.read.push(server);
-                s.noted = now;
-            }
-            s.link.read(now, age, x, round);
-        }
+        report.link.into_iter().for_each(|x| s.link.read(now, age, x, round));
         self.looked = None;
         if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
             self.racks.entry(rack).or_default().meter.read(now, age, x, round);
@@ -884,8 +820,11 @@
                 self.reckon(server);
             }
             Note::Rung(_) => {}
-            Note::Link(x) => self.report(server, Some(age), Report { link: Some(x), rack: None }),
-            Note::Rack(x) => self.report(server, Some(age), Report { link: None, rack: Some(x) }),
+            Note::Link(x) => {
+                self.report(server, age, Report { link: Some(x), rack: None });
+                self.read.push(server);
+            }
+            Note::Rack(x) => self.report(server, age, Report { link: None, rack: Some(x) }),
             Note::Share(share) => self.share(server, share),
         }
     }
@@ -894,32 +833,29 @@
     fn share(&mut self, server: ServerId, share: f64) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.share = Some((now, share));
+        s.short_at = (share < SHORT).then_some(now);
         if share >= SHORT {
-            s.short_since = None;
             return;
         }
-        let since = *s.short_since.get_or_insert(now);
-        let cell = s.entry.cell;
         self.look_round();
-        let Some(s) = self.servers.get(&server) else { return };
+        let s = &self.servers[&server];
         let link = s.link.told().unwrap_or(0.0);
-        let rack = self.rack_of(cell).filter(|r| self.rack_short(*r, link));
-        if let Some(r) = rack.and_then(|r| self.racks.get(&r)).filter(|r| r.meter.read_at.is_none()) {
-            // Uplinks differ from the told mean. Where they are not read, what was asked and the share of it
-            // that came tell the size. Also catches one that sags; errs if the links' readings are old.
-            let size = (r.meter.booked + r.meter.others) * r.uplink * share;
-            let part = (1.0 - size / r.uplink.max(TINY)).clamp(0.0, 0.9).max(r.missing.at(now));
-            let missing = Fading(part, now);
-            self.racks.get_mut(&rack.expect("just read")).expect("just read").missing = missing;
-        }
-        let meter = match rack {
-            Some(r) => &mut self.racks.entry(r).or_default().meter,
+        let rack = self.rack_of(s.entry.cell).filter(|r| self.rack_short(*r, link));
+        let meter = match rack.and_then(|r| self.racks.get_mut(&r)) {
+            Some(r) => {
+                if r.meter.read_at.is_none() {
+                    // Uplinks differ from the told mean. Where they are not read, what was asked and the share
+                    // of it that came tell the size. Also catches a sag; errs if the links' readings are old.
+                    let part = 1.0 - (r.meter.booked + r.meter.others) * share;
+                    r.missing = Fading(part.clamp(0.0, MOST_MISSING).max(r.missing.at(now)), now);
+                }
+                &mut r.meter
+            }
             None => &mut self.servers.get_mut(&server).expect("looked up above").link,
         };
         meter.fill(now);
         // Notes are late and all servers of a rack send them: what was done shows only after a while.
-        if since + NOTE_GAP / 2 < now && meter.stepped + NOTE_GAP + self.set.told_late <= now {
+        if meter.stepped + NOTE_GAP + self.set.told_late <= now {
             meter.stepped = now;
             self.step_down(server, rack, share);
         }
@@ -935,8 +871,8 @@
         for s in self.servers.values().filter(|s| self.rack_of(s.entry.cell) == Some(rack)) {
             let in_use =
                 s.own.playing.rate > 0.0 && s.link.own_at(self.now.saturating_sub(self.set.told_late)) > 0.0;
-            match s.share {
-                Some((t, share)) if share < SHORT && t + NOTE_GAP * 2 > self.now => short += 1,
+            match s.short_at {
+                Some(t) if t + NOTE_GAP * 2 > self.now => short += 1,
                 _ if in_use => fine += 1,
                 _ => {}
             }
@@ -948,15 +884,11 @@
     /// lose least worth for each kB, each one rung and at most once in `STEP_GAP`.
     fn step_down(&mut self, server: ServerId, rack: Option<u64>, share: f64) {
         let now = self.now;
-        let there = |id: ServerId| match rack {
-            Some(r) => self.servers.get(&id).is_some_and(|s| self.rack_of(s.entry.cell) == Some(r)),
-            None => id == server,
-        };
-        let mut asked = 0.0;
-        let mut steps = Vec::new();
+        let (mut asked, mut steps) = (0.0, Vec::new());
         for (id, s) in &self.sessions {
             let State::Playing(at, _) = s.state else { continue };
-            if !there(at) {
+            let there = self.servers.get(&at).and_then(|s| self.rack_of(s.entry.cell));
+            if at != server && (rack.is_none() || there != rack) {
                 continue;
             }
             let class = &self.set.classes[s.call.class];
