--- a/src/brain.rs
+++ b/src/brain.rs
@@ -807,8 +807,8 @@
         let meter = match rack.and_then(|r| self.racks.get_mut(&r)) {
             Some(r) => {
                 if r.meter.read_at.is_none() {
-                    // Uplinks differ from the told mean: what was asked and the share of it that came tell the
-                    // size. Also catches a sag; errs if the links' readings are old.
+                    // Uplinks differ from the told mean: what was asked and the share of it tell the size.
+                    // Also catches a sag; errs if the links' readings are old.
                     let part = 1.0 - (r.meter.booked + r.meter.others) * share;
                     r.missing = Fading(part.clamp(0.0, MARK).max(r.missing.at(now)), now);
                 }
