--- a/src/brain.rs
+++ b/src/brain.rs
@@ -838,7 +838,7 @@
                 _ => {}
             }
         }
-        told.map_or(short > 1 && link < 1.0, |x| x > link) && short > fine * 4
+        told.map_or(link < 1.0, |x| x > link) && short > fine * 4
     }
 
     /// A link that stays short: the own sessions there free what they take too much, those first that
