--- a/src/brain.rs
+++ b/src/brain.rs
@@ -802,7 +802,7 @@
         }
         self.look_round();
         let s = &self.servers[&server];
-        let link = s.link.told().unwrap_or(0.0);
+        let link = s.link.told().unwrap_or(1.0);
         let rack = self.rack_of(s.entry.cell).filter(|r| self.rack_short(*r, link));
         let meter = match rack.and_then(|r| self.racks.get_mut(&r)) {
             Some(r) => {
