--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,6 +62,8 @@
     /// The last reading less what the own sessions asked at the time that it speaks of.
     base: f64,
     own_read: f64,
+    /// What all own sessions asked at that time, kB a second.
+    all_read: f64,
     read_at: Option<Duration>,
     /// What short delivery adds: a later reading of a link that comes and goes does not clear it.
     short: Fading,
@@ -72,13 +74,19 @@
 }
 
 impl Meter {
-    /// What others ask: the base, fading to what is usual in the fleet, and what those who heard the reading
-    /// (each has a session here, `streams` of them fill it) have booked since, if they do as this front does.
-    fn others(&self, now: Duration, usual: f64, streams: f64, fronts: f64) -> f64 {
-        let hearers = |base: f64| (base * streams).clamp(0.0, fronts);
-        let Some(t) = self.read_at else { return usual.max(self.booked * hearers(usual)) };
-        let since = (self.booked - self.own_read).max(0.0) * hearers(self.base);
-        (self.base + since) * faded(now, t) + usual * (1.0 - faded(now, t))
+    /// What others have booked since the reading: in the rush of all that this front has seen, over the fleet,
+    /// or here, by those who heard it too (each has a session here), if they do as this front does.
+    fn since(&self, p: &Peers) -> f64 {
+        let here = (self.booked - self.own_read).max(0.0) * (self.base * p.streams).clamp(0.0, p.fronts);
+        here.max((p.all - self.all_read - 1.0).max(0.0) * p.session * p.fronts / p.size)
+    }
+
+    /// What others ask: the base and what came since, fading to what is usual in the fleet.
+    fn others(&self, now: Duration, usual: f64, p: &Peers) -> f64 {
+        let Some(t) = self.read_at else {
+            return usual.max(self.booked * (usual * p.streams).clamp(0.0, p.fronts));
+        };
+        (self.base + self.since(p)) * faded(now, t) + usual * (1.0 - faded(now, t))
     }
 
     fn used(&self, now: Duration) -> f64 {
@@ -101,11 +109,11 @@
 
     /// A reading taken `age` ago. One that finds room a round of notes after the last short delivery ends
     /// that: room stood empty long after each sag. A link that comes and goes more slowly is filled again.
-    fn read(&mut self, now: Duration, age: Duration, reading: f64, round: Duration) {
+    fn read(&mut self, now: Duration, age: Duration, reading: f64, round: Duration, all: f64) {
         if reading < MARK && self.short.1 + round < now {
             self.short = Fading::default();
         }
-        self.read_at = Some(now);
+        (self.read_at, self.all_read) = (Some(now), all);
         self.own_read = self.own_at(now.saturating_sub(age));
         self.base = reading - self.own_read;
     }
@@ -152,6 +160,16 @@
     own: Own,
 }
 
+/// What is known of the other fronts: how many, what all of this front's own sessions ask, the size of all
+/// links (or uplinks), and how many sessions fill the one looked at.
+struct Peers {
+    fronts: f64,
+    all: f64,
+    size: f64,
+    streams: f64,
+    session: f64,
+}
+
 /// What sessions take: a share of a link, and kB a second.
 #[derive(Clone, Copy, Default)]
 struct Price {
@@ -205,6 +223,8 @@
     out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u64, Rack>,
+    /// All own sessions, in kB a second.
+    all: Meter,
     sessions: BTreeMap<RequestId, Session>,
     /// Requests taken and further attempts made, within the ration's span.
     taken: VecDeque<Duration>,
@@ -230,6 +250,7 @@
             out: Vec::new(),
             servers: BTreeMap::new(),
             racks: BTreeMap::new(),
+            all: Meter::default(),
             sessions: BTreeMap::new(),
             taken: VecDeque::new(),
             extra: VecDeque::new(),
@@ -303,21 +324,25 @@
             return;
         }
         let (now, fronts) = (self.now, self.others());
-        let held = self.sessions.values().filter(|s| s.state != State::Waiting);
-        let rates = held.map(|s| self.set.ladder[s.rung].rate * self.set.classes[s.call.class].scale);
-        let (own, n) = rates.fold((0.0, 0.0), |(sum, n), rate| (sum + rate, n + 1.0));
+        let own: f64 = self.servers.values().map(|s| s.own.booked.rate).sum();
+        let n = self.all.booked;
         let one = if n > 0.0 { own / n } else { self.set.ladder.first().map_or(0.0, |r| r.rate) }.max(TINY);
         (self.looked, self.session_rate) = (Some(now), one);
         let serving = self.servers.values().filter(|s| s.entry.state == Listed::Serving);
-        let (mean, spread) = usual(now, own * fronts, serving.map(|s| (s.rated, &s.link)));
+        let size = serving.clone().map(|s| s.rated).sum::<f64>().max(TINY);
+        let peers = |size: f64, page: f64| Peers { fronts, all: n, size, streams: page / one, session: one };
+        let links: Vec<_> = serving.map(|s| (s.rated, &s.link)).collect();
+        let (mean, spread) = usual(now, &links, |rated| peers(size, rated));
         for s in self.servers.values_mut() {
             // Half of what is unread is over the mean, and a short link costs more than an empty one.
-            s.link.others = s.link.others(now, mean + spread, s.rated / one, fronts);
+            s.link.others = s.link.others(now, mean + spread, &peers(size, s.rated));
         }
         if self.racks.values().any(|r| r.meter.read_at.is_some()) {
-            let (mean, _) = usual(now, own * fronts, self.racks.values().map(|r| (r.uplink, &r.meter)));
+            let size = self.racks.values().map(|r| r.uplink).sum::<f64>().max(TINY);
+            let pages: Vec<_> = self.racks.values().map(|r| (r.uplink, &r.meter)).collect();
+            let (mean, _) = usual(now, &pages, |uplink| peers(size, uplink));
             for r in self.racks.values_mut() {
-                r.meter.others = r.meter.others(now, mean, r.uplink / one, fronts);
+                r.meter.others = r.meter.others(now, mean, &peers(size, r.uplink));
             }
             return;
         }
@@ -326,7 +351,7 @@
         self.racks.values_mut().for_each(|r| r.meter.others = 0.0);
         for s in self.servers.values() {
             let Some(rack) = self.rack_of(s.entry.cell) else { continue };
-            let likely = s.link.others(now, mean, s.rated / one, fronts);
+            let likely = s.link.others(now, mean, &peers(size, s.rated));
             let part = if s.link.booked + likely >= 1.0 { mean.min(likely) } else { likely };
             let part = (s.link.booked + part).clamp(0.0, 1.0) - s.link.booked;
             let asked = part * self.link_size(s);
@@ -366,6 +391,8 @@
         let s = self.servers.get_mut(&server).expect("looked up above");
         s.link.record(now, own.booked.link, own.playing.link, keep);
         let old = std::mem::replace(&mut s.own, own);
+        let all = self.sessions.values().filter(|s| s.at().is_some()).count() as f64;
+        self.all.record(now, all, all, keep);
         let Some(rack) = rack else { return };
         let r = self.racks.entry(rack).or_default();
         r.own.booked.rate = (r.own.booked.rate + own.booked.rate - old.booked.rate).max(0.0);
@@ -763,12 +790,13 @@
     /// A reading of that age. Only notes raise sessions: of many noisy readings the lowest would decide.
     fn report(&mut self, server: ServerId, age: Duration, report: Report) {
         let (now, round) = (self.now, self.set.told_every + self.set.told_late);
+        let all = self.all.own_at(now.saturating_sub(age));
         let Some(s) = self.servers.get_mut(&server) else { return };
         let cell = s.entry.cell;
-        report.link.into_iter().for_each(|x| s.link.read(now, age, x, round));
+        report.link.into_iter().for_each(|x| s.link.read(now, age, x, round, all));
         self.looked = None;
         if let (Some(x), Some(rack)) = (report.rack, self.rack_of(cell)) {
-            self.racks.entry(rack).or_default().meter.read(now, age, x, round);
+            self.racks.entry(rack).or_default().meter.read(now, age, x, round, all);
         }
     }
 
@@ -902,17 +930,17 @@
     marks
 }
 
-/// Mean and spread of the bases of these pages (size and page), by how fresh they are. What the others
-/// would ask if they did as this front does (`asked` of all) counts as one reading.
-fn usual<'a>(now: Duration, asked: f64, pages: impl Iterator<Item = (f64, &'a Meter)>) -> (f64, f64) {
-    let (mut size, mut count, mut sum, mut squares, mut weight) = (0.0, 0.0, 0.0, 0.0, 0.0);
-    for (rated, m) in pages {
-        let (base, w) = (m.base.clamp(0.0, 1.0), rated * m.read_at.map_or(0.0, |t| faded(now, t)));
-        (size, count, weight) = (size + rated, count + 1.0, weight + w);
-        (sum, squares) = (sum + w * base, squares + w * base * base);
-    }
-    let (one, prior) = (size / f64::max(count, 1.0), (asked / f64::max(size, TINY)).min(1.0));
-    let all = (weight + one).max(TINY);
-    let mean = (sum + one * prior) / all;
-    (mean, ((squares + one * prior * prior) / all - mean * mean).max(0.0).sqrt())
+/// Mean and spread of what others ask of these pages (size and page), by how fresh they are. What they would
+/// ask if they did as this front does counts as one reading.
+fn usual(now: Duration, pages: &[(f64, &Meter)], peers: impl Fn(f64) -> Peers) -> (f64, f64) {
+    let all = peers(0.0);
+    let (one, prior) = (all.size / pages.len().max(1) as f64, (all.all * all.session * all.fronts / all.size).min(1.0));
+    let (mut sum, mut squares, mut weight) = (one * prior, one * prior * prior, one);
+    for (size, m) in pages {
+        let base = (m.base + m.since(&peers(*size))).clamp(0.0, 1.0);
+        let w = size * m.read_at.map_or(0.0, |t| faded(now, t));
+        (sum, squares, weight) = (sum + w * base, squares + w * base * base, weight + w);
+    }
+    let mean = sum / weight.max(TINY);
+    (mean, (squares / weight.max(TINY) - mean * mean).max(0.0).sqrt())
 }
