--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,17 +39,13 @@
     d.as_secs_f64()
 }
 
-/// What is left by now of a value of that time.
-fn faded(now: Duration, then: Duration) -> f64 {
-    (1.0 - secs(now.saturating_sub(then)) / secs(FADE)).max(0.0)
-}
-
+/// A value that fades to zero over `FADE`.
 #[derive(Clone, Copy, Default)]
 struct Fading(f64, Duration);
 
 impl Fading {
     fn at(self, now: Duration) -> f64 {
-        self.0 * faded(now, self.1)
+        self.0 * (1.0 - secs(now.saturating_sub(self.1)) / secs(FADE)).max(0.0)
     }
 }
 
@@ -62,20 +58,19 @@
     /// The last reading less what the own sessions asked at the time that it speaks of.
     base: f64,
     own_read: f64,
-    /// What all own sessions asked at that time, kB a second.
+    /// How many own sessions there were in all at that time.
     all_read: f64,
     read_at: Option<Duration>,
     /// What short delivery adds: a later reading of a link that comes and goes does not clear it.
     short: Fading,
-    /// When sessions were last stepped down for it.
     stepped: Duration,
     /// What others are taken to ask, as of the last look round.
     others: f64,
 }
 
 impl Meter {
-    /// What others have booked since the reading: in the rush of all that this front has seen, over the fleet,
-    /// or here, by those who heard it too (each has a session here), if they do as this front does.
+    /// What others have booked since the reading if they did as this front: in a rush, over the whole fleet
+    /// (one session is chance), or here, those who heard it too (each has a session here).
     fn since(&self, p: &Peers) -> f64 {
         let here = (self.booked - self.own_read).max(0.0) * (self.base * p.streams).clamp(0.0, p.fronts);
         here.max((p.all - self.all_read - 1.0).max(0.0) * p.session * p.fronts / p.size)
@@ -86,7 +81,8 @@
         let Some(t) = self.read_at else {
             return usual.max(self.booked * (usual * p.streams).clamp(0.0, p.fronts));
         };
-        (self.base + self.since(p)) * faded(now, t) + usual * (1.0 - faded(now, t))
+        let left = Fading(1.0, t).at(now);
+        (self.base + self.since(p)) * left + usual * (1.0 - left)
     }
 
     fn used(&self, now: Duration) -> f64 {
@@ -101,7 +97,6 @@
         self.playing.push_back((now, playing));
     }
 
-    /// What the own sessions asked at that time.
     fn own_at(&self, then: Duration) -> f64 {
         let past = self.playing.iter().rev().find(|(t, _)| *t <= then).or(self.playing.front());
         past.map_or(0.0, |p| p.1)
@@ -134,19 +129,16 @@
     link: Meter,
     rated: f64,
     own: Own,
-    /// When it started cold, as far as known.
     cold_since: Option<Duration>,
     /// It was seen to fail in a way that may mean a restart: cold when it returns.
     lost: bool,
     fails: u32,
     rest_until: Duration,
-    /// An attempt that shows whether it is back is out.
     trial: bool,
     /// When short delivery was last noted, if that was the last note of it.
     short_at: Option<Duration>,
     /// When this front's next set-up may go to it while it is cold.
     turn: Duration,
-    /// Own sessions there, set-ups included.
     sessions: BTreeSet<RequestId>,
 }
 
@@ -199,7 +191,6 @@
     Playing(ServerId, Duration),
 }
 
-/// One request, from its call to the end of its session.
 #[derive(Default)]
 struct Session {
     call: Call,
@@ -223,14 +214,12 @@
     out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u64, Rack>,
-    /// All own sessions, in kB a second.
     all: Meter,
     sessions: BTreeMap<RequestId, Session>,
     /// Requests taken and further attempts made, within the ration's span.
     taken: VecDeque<Duration>,
     extra: VecDeque<Duration>,
     waiting: Vec<RequestId>,
-    /// Servers whose links were read in this instant.
     read: Vec<ServerId>,
     /// When others' parts were last worked out, and the mean rate of an own session then.
     looked: Option<Duration>,
@@ -298,11 +287,6 @@
         s.rated * if self.is_cold(s) { self.set.rules.cold_from.max(0.01) } else { 1.0 }
     }
 
-    fn others(&self) -> f64 {
-        self.set.fronts.saturating_sub(1) as f64
-    }
-
-    /// Size of an uplink now: as told, less what short delivery showed to be missing.
     fn uplink(&self, r: &Rack) -> f64 {
         (r.uplink * (1.0 - r.missing.at(self.now))).max(TINY)
     }
@@ -323,7 +307,7 @@
         if self.looked == Some(self.now) {
             return;
         }
-        let (now, fronts) = (self.now, self.others());
+        let (now, fronts) = (self.now, self.set.fronts.saturating_sub(1) as f64);
         let own: f64 = self.servers.values().map(|s| s.own.booked.rate).sum();
         let n = self.all.booked;
         let one = if n > 0.0 { own / n } else { self.set.ladder.first().map_or(0.0, |r| r.rate) }.max(TINY);
@@ -374,7 +358,6 @@
         self.set.join < 1.0 && self.set.classes[class].live
     }
 
-    /// Works a server's page out anew, and its part in the rack's.
     fn reckon(&mut self, server: ServerId) {
         let Some(s) = self.servers.get(&server) else { return };
         let (mut own, mut streams) = (Own::default(), BTreeSet::new());
@@ -414,25 +397,18 @@
             self.out.push(Action::Subscribe);
         }
         if mode != ListMode::Patch {
-            for s in self.servers.values_mut() {
-                s.entry.state = Listed::Gone;
-            }
+            self.servers.values_mut().for_each(|s| s.entry.state = Listed::Gone);
         }
         for e in entries {
-            let (now, cold) = (self.now, self.set.rules.cold);
+            let now = self.now;
             let s = self.servers.entry(e.server).or_default();
             let restarted = e.started > s.entry.started;
             s.entry = *e;
-            let is_cold = e.started > Duration::ZERO && e.started + cold > now;
-            if is_cold {
-                s.cold_since = s.cold_since.max(Some(e.started));
-            }
             if restarted {
                 // A new start ends what was held against the old process.
                 (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
-                if is_cold {
-                    self.draw_turn(e.server);
-                }
+                s.cold_since = s.cold_since.max(Some(e.started));
+                self.draw_turn(e.server);
             }
         }
         self.size_links();
@@ -488,7 +464,6 @@
         self.servers.get_mut(&server).expect("looked up above").turn = self.now + wait;
     }
 
-    /// A set-up or stream failed there: the server rests, longer each time.
     fn failed(&mut self, server: ServerId, lost: bool, why: &str) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -530,7 +505,6 @@
             || (s.entry.cell + cells - call.first_cell % cells) % cells < call.cells
     }
 
-    /// Whether a set-up of this request may go to that server at all.
     fn usable(&self, call: &Call, s: &Server) -> bool {
         let class = &self.set.classes[call.class];
         s.entry.state == Listed::Serving
@@ -592,7 +566,8 @@
             let (call, old) = (&s.call, s.rung);
             let top = call.top.min(self.set.classes[call.class].top).min(self.set.ladder.len() - 1);
             let used = self.use_of(at);
-            let alike = |kb: f64| 1.0 + (kb / self.session_rate).clamp(0.0, self.others());
+            let alike =
+                |kb: f64| 1.0 + (kb / self.session_rate).clamp(0.0, self.set.fronts.saturating_sub(1) as f64);
             let near = alike(at.link.others * at.rated);
             let far = alike(self.rack_at(at).map_or(0.0, |r| r.meter.others * r.uplink));
             let price = |rung: usize| self.price(at, call.class, rung, false);
@@ -621,7 +596,6 @@
         }
     }
 
-    /// Takes a request on; one that is known already is not taken again.
     fn take(&mut self, call: &Call) -> Option<RequestId> {
         if self.sessions.contains_key(&call.request) {
             return None;
@@ -705,10 +679,7 @@
 
     /// The one place that gives final answers: a refusal where no harm can have been done, else a failure.
     fn answer(&mut self, request: RequestId) {
-        let Some(s) = self.sessions.remove(&request) else { return };
-        if s.over {
-            return;
-        }
+        let Some(s) = self.sessions.remove(&request).filter(|s| !s.over) else { return };
         if s.ran && self.set.classes[s.call.class].at_most_once {
             self.out.push(Action::Fail(request));
         } else {
@@ -934,11 +905,12 @@
 /// ask if they did as this front does counts as one reading.
 fn usual(now: Duration, pages: &[(f64, &Meter)], peers: impl Fn(f64) -> Peers) -> (f64, f64) {
     let all = peers(0.0);
-    let (one, prior) = (all.size / pages.len().max(1) as f64, (all.all * all.session * all.fronts / all.size).min(1.0));
+    let (one, prior) =
+        (all.size / pages.len().max(1) as f64, (all.all * all.session * all.fronts / all.size).min(1.0));
     let (mut sum, mut squares, mut weight) = (one * prior, one * prior * prior, one);
     for (size, m) in pages {
         let base = (m.base + m.since(&peers(*size))).clamp(0.0, 1.0);
-        let w = size * m.read_at.map_or(0.0, |t| faded(now, t));
+        let w = size * m.read_at.map_or(0.0, |t| Fading(1.0, t).at(now));
         (sum, squares, weight) = (sum + w * base, squares + w * base * base, weight + w);
     }
     let mean = sum / weight.max(TINY);
