--- a/src/brain.rs
+++ b/src/brain.rs
@@ -376,6 +376,7 @@
         let old = std::mem::replace(&mut s.own, own);
         let all = self.sessions.values().filter(|s| s.at().is_some()).count() as f64;
         self.all.record(now, all, all, keep);
+        self.looked = None;
         let Some(rack) = rack else { return };
         let r = self.racks.entry(rack).or_default();
         r.own.booked.rate = (r.own.booked.rate + own.booked.rate - old.booked.rate).max(0.0);
@@ -592,7 +593,6 @@
             let Some((rung, _)) = drawn else { continue };
             self.sessions.get_mut(&id).expect("listed above").adopted = false;
             self.set_rung(id, rung);
-            self.looked = None;
         }
     }
 
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -479,6 +479,23 @@
     assert_eq!(sends(&actions), [(10, 3)]);
 }
 
+/// Incident ib7e2f0: in a rush all fronts filled servers by a reading of before it.
+#[test]
+fn a_rush_counts_for_all_fronts_before_the_next_reading() {
+    let refused = |fronts: usize| {
+        let mut set = settings();
+        (set.fronts, set.racks) = (fronts, 0);
+        let mut brain = front(set, 4);
+        brain.step(START, &(0..4).map(|r| Event::Adopted(call(r, 1, START), r)).collect::<Vec<_>>());
+        brain.step(START + ms(1000), &(0..4).map(|r| Event::Note(r, r, Note::Link(0.5))).collect::<Vec<_>>());
+        let calls: Vec<_> = (10..18).map(|r| Event::Call(call(r, 1, START))).collect();
+        let actions = brain.step(START + ms(1500), &calls);
+        actions.iter().filter(|a| matches!(a, Action::Refuse(..))).count()
+    };
+    assert_eq!(refused(1), 0, "alone there is room for eight");
+    assert!(refused(100) >= 4, "a hundred fronts with eight each find no room for all");
+}
+
 /// Full size, first scores: at a hundred fronts one own session was priced as a hundred and none was raised.
 #[test]
 fn adopted_sessions_are_raised_at_a_hundred_fronts_as_far_as_room_goes() {
