--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 
 /// Share of a link or uplink that the ledger may reach (the paper's example for an operator's threshold).
 const MARK: f64 = 0.95;
-/// A reported or noted base fades to zero over this time (the design's figure).
+/// A reported or noted base fades over this time, to the usual or to zero (the design's figure).
 const FADE: Duration = Duration::from_secs(30);
 /// A session steps down at most once in this time (the design's figure).
 const STEP_GAP: Duration = Duration::from_secs(30);
