--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -40,7 +40,6 @@
 
 mod brain;
 pub mod interface;
-pub mod wire;
 
 pub use brain::Brain;
 pub use interface::*;
--- a/src/bin/cloverhollow-drill.rs
+++ b/crates/drill/src/bin/cloverhollow-drill.rs
@@ -1,7 +1,7 @@
 //! Hosts any number of [`cloverhollow::Brain`]s on the drill's wire: standard input to standard output.
 
-use cloverhollow::wire::{self, Fault, Names};
 use cloverhollow::{Brain, Event};
+use cloverhollow_drill::wire::{self, Fault, Names};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
--- a/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,6 +1,6 @@
 //! The drill's wire: JSON lines in, JSON lines out. Translation only; nothing is decided here.
 
-use crate::interface::*;
+use cloverhollow::*;
 use serde::{de::DeserializeOwned, Deserialize};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
