--- /dev/null
+++ b/crates/hints/tests/cmsd.rs
@@ -0,0 +1,77 @@
+//! CMSD against the examples of CTA-5006.
+
+use cloverhollow_hints::cmsd::*;
+use cloverhollow_hints::{Fault, Faults};
+
+#[test]
+fn the_standards_example_path_is_read_in_its_order() {
+    let mut f = Faults::default();
+    let hops =
+        read_dynamic("\"CDNB-3ak1\";etp=96;rtt=8, \"CDNB-w35k\";etp=76;rtt=32;mb=5000;rd=12;du", &mut f);
+    assert_eq!(f.total(), 0, "{f}");
+    assert_eq!(hops.len(), 2);
+    assert_eq!((hops[0].name.as_str(), hops[0].throughput, hops[0].rtt), ("CDNB-3ak1", Some(96), Some(8)));
+    assert_eq!((hops[1].most, hops[1].delay, hops[1].duress), (Some(5000), Some(12), true));
+}
+
+#[test]
+fn a_hop_is_added_last_and_reads_back_the_same() {
+    let own = Hop {
+        name: "front-1".into(),
+        duress: true,
+        throughput: Some(900),
+        most: Some(2000),
+        delay: Some(3),
+        rtt: Some(1),
+        streams: Some(41),
+        link: Some(1.25),
+        rack: Some(0.5),
+        unrun: true,
+        reason: Some("full".into()),
+        rung: Some(2),
+    };
+    let text = own.append_to("\"origin\";etp=5");
+    let mut f = Faults::default();
+    let hops = read_dynamic(&text, &mut f);
+    assert_eq!((hops.len(), f.total()), (2, 0), "{text}");
+    assert_eq!((hops[0].name.as_str(), &hops[1]), ("origin", &own));
+    assert_eq!(own.append_to("  "), own.write());
+}
+
+#[test]
+fn bad_members_are_dropped_and_counted() {
+    let mut f = Faults::default();
+    let hops =
+        read_dynamic("7;etp=1, (1 2), \"a\";etp=x;rtt=-4;com.cloverhollow-link=\"z\", \"b\";etp=2", &mut f);
+    assert_eq!(hops.iter().map(|h| h.name.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+    assert_eq!((hops[0].throughput, hops[1].throughput), (None, Some(2)));
+    assert_eq!((f.of(Fault::WrongType), f.of(Fault::OutOfRange)), (4, 1), "{f}");
+    for broken in ["\"a\";etp=1,", "\"a", "\u{e9}", "a b"] {
+        let mut f = Faults::default();
+        assert!(read_dynamic(broken, &mut f).is_empty(), "{broken}");
+        assert_eq!(f.of(Fault::Malformed), 1, "{broken}");
+    }
+    let mut f = Faults::default();
+    assert_eq!(read_dynamic(&vec!["\"h\""; 40].join(", "), &mut f).len(), MOST_HOPS);
+    assert!(read_dynamic(&"\"h\", ".repeat(3000), &mut f).is_empty());
+    assert_eq!(f.of(Fault::PastBound), 2);
+}
+
+#[test]
+fn static_reads_back_and_keeps_what_it_does_not_know() {
+    let text = "at=1600000000000, br=2000, d=5000, n=\"OriginProviderA\", ot=v, sf=h, st=v, su, com.example-x=(1 2);p";
+    let mut f = Faults::default();
+    let s = read_static(text, &mut f);
+    assert_eq!(f.total(), 0, "{f}");
+    assert_eq!((s.bitrate, s.duration, s.available), (Some(2000), Some(5000), Some(1_600_000_000_000)));
+    assert_eq!(
+        (s.name.as_deref(), s.object.as_deref(), s.startup),
+        (Some("OriginProviderA"), Some("v"), true)
+    );
+    assert_eq!(s.rest.len(), 1);
+    let mut f = Faults::default();
+    assert_eq!(read_static(&s.write(), &mut f), s);
+    assert_eq!(f.total(), 0, "{f}");
+    assert_eq!(read_static("br=x, d=-1, n=5", &mut f), Static::default());
+    assert_eq!((f.of(Fault::WrongType), f.of(Fault::OutOfRange)), (2, 1), "{f}");
+}
