--- /dev/null
+++ b/crates/session/tests/common/mod.rs
@@ -0,0 +1,108 @@
+//! A shell without sockets: inputs made by hand, commands looked at.
+#![allow(dead_code)] // each test file uses a part
+
+use cloverhollow::{Brain, ListMode};
+use cloverhollow_hints::cmcd::Record;
+use cloverhollow_hints::{reconcile, Faults};
+use cloverhollow_session::*;
+use cloverhollow_settings::FrontSettings;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const DAY: Duration = Duration::from_secs(86_400);
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub const SETTINGS: &str = "
+instance: {seed: 7}
+classes:
+- {name: paid, aim_ms: 1000, deadline_ms: 3000, paid: true, worth: 3, seats: 4}
+- {name: clip, aim_ms: 800, deadline_ms: 3000}
+rules: {cold_ms: 10000, fall_ms: 1000}
+sessions: {idle_ms: 5000, margin_ms: 50, most: 50, waiting: 3}
+";
+
+pub type TestCore = Core<Brain, u32, &'static str>;
+
+pub fn settings(text: &str) -> Arc<FrontSettings> {
+    Arc::new(FrontSettings::parse("test.yaml", text).unwrap())
+}
+
+pub fn core() -> TestCore {
+    let s = settings(SETTINGS);
+    Core::new(Brain::new(s.decisions(), 7), s)
+}
+
+pub fn server(id: u64, state: WireState) -> ServerEntry {
+    ServerEntry {
+        id,
+        address: ([127, 0, 0, 1], 9000 + id as u16).into(),
+        hall: String::new(),
+        kind: String::new(),
+        cell: 0,
+        weight: 1.0,
+        state,
+        incarnation: 1,
+        started_ms_ago: None,
+    }
+}
+
+pub fn list<A, B>(mode: ListMode, servers: Vec<ServerEntry>) -> Input<A, B> {
+    Input::List(ListNews { mode, version: 1, entries: servers })
+}
+
+pub fn serving(n: u64) -> Input<u32, &'static str> {
+    list(ListMode::Whole, (1..=n).map(|id| server(id, WireState::Serving)).collect())
+}
+
+pub fn arrival(s: &FrontSettings, viewer: u64, path: &str, cmcd: &str) -> Arrival<u32> {
+    let (mut record, mut faults) = (Record::default(), Faults::default());
+    record.read_query(cmcd, &mut faults);
+    let (record, contradictions) = reconcile(record, Record::default());
+    let hints = arrival::Hints { record, faults, contradictions };
+    arrival::read(s, ViewerId(viewer), path, &hints, viewer as u32).unwrap()
+}
+
+pub fn call(viewer: u64, sid: &str, class: &str) -> Input<u32, &'static str> {
+    let s = settings(SETTINGS);
+    Input::Arrived(arrival(&s, viewer, &format!("/club/{class}/t1/0"), &format!("sid=\"{sid}\",su")))
+}
+
+/// Commands as words, for comparing.
+pub fn words(commands: &[Command<u32, &'static str>]) -> Vec<String> {
+    commands
+        .iter()
+        .map(|c| match c {
+            Command::Send(s) => format!("send {} {}", s.sid, s.attempt),
+            Command::Recall { attempt, why } => format!("recall {attempt} {why:?}"),
+            Command::Release { sid, .. } => format!("release {sid}"),
+            Command::Answer { viewer, answer } => {
+                let v = viewer.0;
+                match answer {
+                    Answer::Stream { answer, .. } => format!("{v} stream {answer}"),
+                    Answer::Follow(_) => format!("{v} follow"),
+                    Answer::Refused { reason, .. } => format!("{v} refused {}", reason.token()),
+                    Answer::Failed { reason, .. } => format!("{v} failed {}", reason.token()),
+                }
+            }
+        })
+        .collect()
+}
+
+pub fn sent(commands: &[Command<u32, &'static str>]) -> Setup<u32> {
+    let one = commands.iter().find_map(|c| match c {
+        Command::Send(s) => Some(s.clone()),
+        _ => None,
+    });
+    one.unwrap_or_else(|| panic!("nothing sent: {:?}", words(commands)))
+}
+
+pub fn playing(attempt: AttemptId) -> Input<u32, &'static str> {
+    Input::Playing { attempt, load: Load::default(), answer: "body" }
+}
+
+pub fn ended(attempt: AttemptId, end: AttemptEnd) -> Input<u32, &'static str> {
+    Input::AttemptEnded { attempt, end, load: Load::default() }
+}
