The front's shell: tokio sockets round the session core, with pools, recall and discovery

Need: the session manager runs on sockets; the core has no I/O. Change: crate net (Framed codecs, client and server connections, event lines) and crate front: one desk task owns the core; viewers' connections with bounds on heads, bodies and time; attempts whose first byte and recall settle on one atomic step; pooled and capped connections to servers; ends of sessions told in batches; the list's stream with jittered reconnects and its copy on disk; health and metrics.

--- /dev/null
+++ b/crates/front/src/attempt.rs
@@ -0,0 +1,91 @@
+//! One attempt at setting a session up: connect, send, wait for the answer's head.
+//!
+//! Whether its first byte has gone out is settled by one atomic step, which either the attempt or its recall
+//! takes: there is no instant at which both believe to have been first.
+
+use crate::desk::Mail;
+use crate::pool::LeaseError;
+use crate::upstream::{self, Ask, SetupAnswer};
+use crate::Shared;
+use bytes::Bytes;
+use cloverhollow_session::{AttemptEnd, Input, Load, Setup};
+use std::sync::atomic::{AtomicU8, Ordering::AcqRel, Ordering::Acquire};
+use std::sync::Arc;
+use tokio::task::AbortHandle;
+
+const UNSENT: u8 = 0;
+const SENDING: u8 = 1;
+const RECALLED: u8 = 2;
+
+#[derive(Debug, Default)]
+struct Gate(AtomicU8);
+
+impl Gate {
+    fn pass(&self, to: u8) -> bool {
+        self.0.compare_exchange(UNSENT, to, AcqRel, Acquire).is_ok()
+    }
+}
+
+/// The desk's hold on an attempt that is out. Dropping it ends the attempt and closes its connection.
+pub(crate) struct Held {
+    gate: Arc<Gate>,
+    task: AbortHandle,
+}
+
+impl Held {
+    /// Whether its first byte had not gone out, and now never will.
+    pub(crate) fn recall(&self) -> bool {
+        self.gate.pass(RECALLED)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sends a set-up in a task of its own, which mails its end to the desk. No time-out here: the desk recalls.
+pub(crate) fn spawn(setup: Setup<Arc<Ask>>, shared: Arc<Shared>) -> Held {
+    let gate = Arc::new(Gate::default());
+    let own = gate.clone();
+    let task = tokio::spawn(async move {
+        let attempt = setup.attempt;
+        let input = match run(&setup, &shared, &own).await {
+            Some(End::Playing { load, answer }) => Input::Playing { attempt, load, answer },
+            Some(End::Ended { end, load }) => Input::AttemptEnded { attempt, end, load },
+            None => return, // recalled: the desk knows
+        };
+        let _ = shared.desk.send(Mail::of(input)).await;
+    });
+    Held { gate, task: task.abort_handle() }
+}
+
+enum End {
+    Playing { load: Load, answer: SetupAnswer },
+    Ended { end: AttemptEnd, load: Load },
+}
+
+async fn run(setup: &Setup<Arc<Ask>>, shared: &Shared, gate: &Gate) -> Option<End> {
+    let ended = |end| Some(End::Ended { end, load: Load::default() });
+    // A connection of its own: on a used one, a close that is under way would leave it open whether the
+    // set-up ran, and a paid one could not be sent again.
+    let mut lease = match shared.pools.lease(setup.server, setup.address, true).await {
+        Ok(lease) => lease,
+        Err(LeaseError::Busy | LeaseError::NotConnected(_)) => return ended(AttemptEnd::NotConnected),
+    };
+    if !gate.pass(SENDING) {
+        return None;
+    }
+    let head = upstream::setup_head(setup, shared);
+    if lease.conn().send(head, Bytes::new()).await.is_err() {
+        return ended(AttemptEnd::Reset);
+    }
+    let Ok(head) = lease.conn().head().await else { return ended(AttemptEnd::Reset) };
+    let told = upstream::told(&head, setup.kbps);
+    match head.status {
+        200..=299 => Some(End::Playing { load: told.load, answer: SetupAnswer { head, lease } }),
+        503 if told.unrun => Some(End::Ended { end: AttemptEnd::Full, load: told.load }),
+        status => Some(End::Ended { end: AttemptEnd::Error { status }, load: told.load }),
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,211 @@
+//! The session manager: a tokio shell round [`cloverhollow_session::Core`].
+//!
+//! The way of a request: `accept` (here) → `viewer` parses it and reads its hints → a mail to the `desk`,
+//! the one task that owns the core and with it the decision module → its commands: `attempt` sends a set-up,
+//! `desk` answers the viewer → `object` relays the server's answer. Later objects of a session that plays go
+//! from `viewer` straight to `object` by the core's routes, without passing the desk.
+//!
+//! Nothing here decides; what is bounded and by which setting is said where it is bounded.
+
+mod attempt;
+mod clock;
+mod desk;
+mod discovery;
+mod object;
+mod pool;
+mod release;
+mod save;
+mod side;
+mod upstream;
+mod viewer;
+
+pub use clock::Clock;
+
+use cloverhollow_session::{Core, Policy, Routes, Stats, Tap};
+use cloverhollow_settings::FrontSettings;
+use desk::Desk;
+use pool::Pools;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Most mails that wait for the desk. A sender past it waits: back-pressure on the viewers' connections.
+const MOST_MAILS: usize = 65_536;
+
+/// What all tasks of one front share.
+pub(crate) struct Shared {
+    pub(crate) settings: Arc<FrontSettings>,
+    pub(crate) clock: Clock,
+    pub(crate) routes: Arc<Routes>,
+    pub(crate) stats: Arc<Stats>,
+    pub(crate) pools: Pools,
+    pub(crate) desk: mpsc::Sender<desk::Mail>,
+    pub(crate) via: String,
+    next_viewer: AtomicU64,
+}
+
+impl Shared {
+    /// A number for a waiting request, never used twice.
+    pub(crate) fn viewer(&self) -> cloverhollow_session::ViewerId {
+        cloverhollow_session::ViewerId(self.next_viewer.fetch_add(1, Relaxed))
+    }
+}
+
+/// Why a front did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("{field} {address}: {source}")]
+    Listen {
+        /// The setting.
+        field: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// A front that runs.
+pub struct Front {
+    /// Where viewers call.
+    pub address: SocketAddr,
+    /// Where operators ask, if anywhere.
+    pub side: Option<SocketAddr>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Front {
+    /// Starts a front whose decisions are `policy`'s; `tap` is told each of its steps.
+    ///
+    /// # Errors
+    /// An address cannot be listened on. Nothing runs then.
+    pub async fn start<P: Policy + 'static>(
+        settings: Arc<FrontSettings>,
+        policy: P,
+        tap: Option<Tap>,
+    ) -> Result<Front, StartError> {
+        let listener = bind("listen.address", settings.listen.address).await?;
+        let side = match settings.side.address {
+            Some(address) => Some(bind("side.address", address).await?),
+            None => None,
+        };
+        let address = local(&listener, settings.listen.address);
+        let side_address = side.as_ref().map(|s| local(s, address));
+
+        let mut core = Core::new(policy, settings.clone());
+        if let Some(tap) = tap {
+            core.set_tap(tap);
+        }
+        let clock = Clock::start();
+        let (mail, mails) = mpsc::channel(MOST_MAILS);
+        let shared = Arc::new(Shared {
+            clock,
+            routes: core.routes(),
+            stats: core.stats(),
+            pools: Pools::new(&settings.servers),
+            desk: mail,
+            via: format!("1.1 {}", settings.instance.name.as_str()),
+            next_viewer: AtomicU64::new(1),
+            settings: settings.clone(),
+        });
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        let state = Arc::new(side::State::default());
+
+        // The last list goes in before the first request can: the desk reads its mails in order.
+        if let Some(news) = save::load(&settings).await {
+            let _ = shared.desk.send(desk::Mail::list(news)).await;
+        }
+        let saver = save::spawn(&tasks, &settings, &stop);
+        let desk = Desk::new(core, shared.clone(), mails, saver, state.clone());
+        tasks.spawn(until(stop.clone(), desk.run()));
+        tasks.spawn(until(stop.clone(), discovery::run(shared.clone())));
+        if let Some(side) = side {
+            tasks.spawn(until(stop.clone(), side::run(side, shared.clone(), state)));
+        }
+        tasks.spawn(until(stop.clone(), accept(listener, shared)));
+        tracing::info!(%address, name = settings.instance.name.as_str(), "front started");
+        Ok(Front { address, side: side_address, stop, tasks })
+    }
+
+    /// Stops at once: connections are closed, sessions forgotten, the last list is kept.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen { field, address, source })
+}
+
+fn local(listener: &TcpListener, told: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(told)
+}
+
+async fn until(stop: CancellationToken, task: impl std::future::Future<Output = ()>) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = task => {}
+    }
+}
+
+/// Takes connections, `listen.connections` at a time; one past them gets 503 at once.
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let room = Arc::new(Semaphore::new(shared.settings.listen.connections.count()));
+    let turning = Arc::new(Semaphore::new(TURNED_AWAY));
+    // Dropped with this future, and the connections' tasks with it.
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    // Out of file descriptors, most likely: others must end first.
+                    tracing::warn!(error = %e, "cannot accept");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+            Some(_) = connections.join_next() => continue,
+        };
+        let _ = stream.set_nodelay(true);
+        match room.clone().try_acquire_owned() {
+            Ok(permit) => {
+                let shared = shared.clone();
+                connections.spawn(async move {
+                    viewer::serve(stream, shared).await;
+                    drop(permit);
+                });
+            }
+            // Past that bound too, it is just closed.
+            Err(_) => {
+                if let Ok(permit) = turning.clone().try_acquire_owned() {
+                    connections.spawn(async move {
+                        turn_away(stream).await;
+                        drop(permit);
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Most connections past the cap that are being told so at a time.
+const TURNED_AWAY: usize = 256;
+
+/// The shortest answer there is, to a connection past the cap.
+async fn turn_away(stream: TcpStream) {
+    const FULL: &[u8] =
+        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    // A new socket's send buffer holds this; where it does not, the peer is none to wait for.
+    let _ = stream.try_write(FULL);
+    cloverhollow_net::linger(stream).await;
+}
--- /dev/null
+++ b/crates/front/src/viewer.rs
@@ -0,0 +1,253 @@
+//! A viewer's connection: requests one after the other, each with exactly one answer.
+//!
+//! Memory of one connection: a head of `listen.head_bytes`, a report of `listen.report_bytes` or one frame
+//! of an answer. Time: `listen.idle_ms` between requests, `listen.head_ms` for a head once its first byte
+//! has come, and for a body.
+
+use crate::desk::Mail;
+use crate::object;
+use crate::upstream::{self, Ask, Told};
+use crate::Shared;
+use cloverhollow_hints::cmcd::{self, Record, REPORT_TYPE};
+use cloverhollow_hints::cmsd;
+use cloverhollow_hints::{reconcile, Faults, Group};
+use cloverhollow_http::{percent_decode, Limits, Method, RequestFrame, RequestHead, ResponseHead};
+use cloverhollow_net::{answer, linger, read_body, wait_closed, ServerConn, ServerSide, WireError};
+use cloverhollow_session::arrival::{self, Hints, NoSession};
+use cloverhollow_session::{Answer, Input};
+use futures_util::StreamExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+/// Whether the connection serves on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flow {
+    Next,
+    Close,
+}
+
+/// A viewer's connection and whether it stays open after the answer at hand.
+pub(crate) struct ViewerConn {
+    pub(crate) framed: ServerConn,
+    pub(crate) keep_alive: bool,
+    write: Duration,
+}
+
+impl ViewerConn {
+    /// Whether to go on, after a whole answer.
+    pub(crate) fn flow(&self) -> Flow {
+        if self.keep_alive {
+            Flow::Next
+        } else {
+            Flow::Close
+        }
+    }
+
+    async fn send(&mut self, mut head: ResponseHead, body: &'static str) -> Flow {
+        head.keep_alive = self.keep_alive;
+        head.framing = cloverhollow_http::Framing::Length(body.len() as u64);
+        match timeout(self.write, answer(&mut self.framed, head, body)).await {
+            Ok(Ok(())) => self.flow(),
+            _ => Flow::Close,
+        }
+    }
+
+    /// An answer without a session's hints.
+    pub(crate) async fn plain(&mut self, status: u16) -> Flow {
+        self.send(ResponseHead::new(status, 0), "").await
+    }
+
+    /// An answer after which nothing more is read as a request: where the next one begins is unknown.
+    async fn last_word(mut self, status: u16) {
+        self.keep_alive = false;
+        self.plain(status).await;
+        linger(self.framed.into_inner()).await;
+    }
+
+    async fn no_session(
+        &mut self,
+        status: u16,
+        reason: &str,
+        after: Option<Duration>,
+        shared: &Shared,
+    ) -> Flow {
+        let mut head = ResponseHead::new(status, 0);
+        if let Some(after) = after {
+            // Whole seconds only (RFC 9110, section 10.2.3): never sooner than the hold-off.
+            head.headers.push("retry-after", after.as_secs_f64().ceil().to_string());
+        }
+        let hop = cmsd::Hop { reason: Some(reason.into()), ..upstream::own_hop(shared, None, 0) };
+        head.headers.push(cmsd::DYNAMIC, hop.write());
+        self.send(head, "").await
+    }
+
+    /// 503: nothing ran, come back after this.
+    pub(crate) async fn refuse(&mut self, after: Duration, reason: &str, shared: &Shared) -> Flow {
+        self.no_session(503, reason, Some(after), shared).await
+    }
+
+    /// 502 or 504: something may have run.
+    pub(crate) async fn fail(&mut self, status: u16, reason: &str, shared: &Shared) -> Flow {
+        self.no_session(status, reason, None, shared).await
+    }
+}
+
+/// Serves a connection to its end.
+pub(crate) async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let listen = &shared.settings.listen;
+    let limits = Limits {
+        head_bytes: listen.head_bytes.count(),
+        headers: listen.header_lines.count(),
+        ..Limits::default()
+    };
+    let port = stream.peer_addr().map_or(0, |a| a.port());
+    let framed = Framed::with_capacity(stream, ServerSide::new(limits), 2048);
+    let mut conn = ViewerConn { framed, keep_alive: true, write: listen.write_ms.get() };
+    loop {
+        if conn.framed.read_buffer().is_empty() {
+            let mut byte = [0];
+            let first = timeout(listen.idle_ms.get(), conn.framed.get_ref().peek(&mut byte)).await;
+            if !matches!(first, Ok(Ok(n)) if n > 0) {
+                return; // idle for too long, closed or broken
+            }
+        }
+        let head = match timeout(listen.head_ms.get(), conn.framed.next()).await {
+            Ok(Some(Ok(RequestFrame::Head(head)))) => head,
+            Ok(Some(Err(WireError::Malformed(m)))) => {
+                tracing::debug!(error = %m, "malformed request");
+                return conn.last_word(m.status()).await;
+            }
+            Err(_) => return conn.last_word(408).await,
+            Ok(_) => return,
+        };
+        conn.keep_alive = head.keep_alive;
+        let body =
+            timeout(listen.head_ms.get(), read_body(&mut conn.framed, listen.report_bytes.count())).await;
+        let refused = match body {
+            Ok(Ok(Some(body))) => {
+                if request(&mut conn, head, body, port, &shared).await == Flow::Close {
+                    return;
+                }
+                continue;
+            }
+            Ok(Ok(None)) => 413,
+            Ok(Err(WireError::Malformed(m))) => m.status(),
+            Ok(Err(WireError::Io(_))) => return,
+            Err(_) => 408,
+        };
+        return conn.last_word(refused).await;
+    }
+}
+
+async fn request(
+    conn: &mut ViewerConn,
+    head: RequestHead,
+    body: Vec<u8>,
+    port: u16,
+    shared: &Arc<Shared>,
+) -> Flow {
+    match head.method {
+        Method::Post if head.target.path() == shared.settings.mapping.reports => {
+            reports(conn, &head, body, shared).await
+        }
+        Method::Get => object(conn, head, port, shared).await,
+        _ => conn.plain(405).await,
+    }
+}
+
+/// Event and response reports of players (CTA-5004-A): they tell that a session lives or is over.
+async fn reports(conn: &mut ViewerConn, head: &RequestHead, body: Vec<u8>, shared: &Shared) -> Flow {
+    let wanted = head.headers.text("content-type").is_none_or(|t| t.trim().starts_with(REPORT_TYPE));
+    let Some(body) = String::from_utf8(body).ok().filter(|_| wanted) else { return conn.plain(400).await };
+    let mut faults = Faults::default();
+    for record in cmcd::read_reports(&body, &mut faults) {
+        let Some(sid) = record.sid.as_deref() else { continue };
+        if let Some(route) = shared.routes.get(sid) {
+            route.touch(shared.clock.now());
+        }
+        if let Some(why) = arrival::over(&record) {
+            let _ = shared.desk.send(Mail::of(Input::Over { sid: sid.into(), why })).await;
+        }
+    }
+    shared.stats.hints(&faults, cloverhollow_hints::Contradictions::default());
+    conn.plain(204).await
+}
+
+fn hints(head: &RequestHead) -> Hints {
+    let mut faults = Faults::default();
+    let (mut headers, mut query) = (Record::default(), Record::default());
+    for group in Group::ALL {
+        for line in head.headers.all(group.header()) {
+            match std::str::from_utf8(line) {
+                Ok(text) => headers.read_header(group, text, &mut faults),
+                Err(_) => faults.add(cloverhollow_hints::Fault::Malformed),
+            }
+        }
+    }
+    if let Some(text) = head.target.argument(cmcd::QUERY) {
+        match percent_decode(text) {
+            Some(text) => query.read_query(&text, &mut faults),
+            None => faults.add(cloverhollow_hints::Fault::Malformed),
+        }
+    }
+    let (record, contradictions) = reconcile(headers, query);
+    Hints { record, faults, contradictions }
+}
+
+/// An object of a session: the first one is the call, later ones follow the route.
+async fn object(conn: &mut ViewerConn, head: RequestHead, port: u16, shared: &Arc<Shared>) -> Flow {
+    let begun = Instant::now();
+    let mut hints = hints(&head);
+    if hints.record.sid.is_none() {
+        // A viewer without a usable id still gets its session: the connection stands in.
+        let name = shared.settings.instance.name.as_str();
+        hints.record.sid = Some(format!("~{name}-{port}").into());
+    }
+    let over = arrival::over(&hints.record);
+    let sid = hints.record.sid.clone().unwrap_or_default();
+    if let Some(route) = shared.routes.get(&sid) {
+        let ask = Ask { target: head.target, hints: hints.record };
+        let flow = object::serve(conn, &ask, &route, shared).await;
+        if let Some(why) = over {
+            let _ = shared.desk.send(Mail::of(Input::Over { sid: route.sid.clone(), why })).await;
+        }
+        return flow;
+    }
+    let ask = Arc::new(Ask { target: head.target.clone(), hints: hints.record.clone() });
+    let viewer = shared.viewer();
+    let read = arrival::read(&shared.settings, viewer, head.target.path(), &hints, ask.clone());
+    let arrival = match read {
+        Ok(arrival) => arrival,
+        Err(NoSession::Path | NoSession::Class | NoSession::Sid) => return conn.plain(404).await,
+    };
+    let (reply, mut replied) = oneshot::channel();
+    let sid = arrival.sid.clone();
+    if shared.desk.send(Mail::call(arrival, reply)).await.is_err() {
+        return Flow::Close;
+    }
+    let answer = tokio::select! {
+        answer = &mut replied => answer,
+        () = wait_closed(&conn.framed) => {
+            let _ = shared.desk.send(Mail::of(Input::HungUp { viewer, sid })).await;
+            return Flow::Close;
+        }
+    };
+    match answer {
+        Ok(Answer::Stream { route, answer }) => {
+            let Told { path, .. } = upstream::told(&answer.head, route.kbps());
+            let told = Told { path, ..Told::default() };
+            object::relay(conn, answer.head, told, answer.lease, Some(&route), begun, shared).await
+        }
+        Ok(Answer::Follow(route)) => object::serve(conn, &ask, &route, shared).await,
+        Ok(Answer::Refused { after, reason }) => conn.refuse(after, reason.token(), shared).await,
+        Ok(Answer::Failed { late, reason }) => {
+            conn.fail(if late { 504 } else { 502 }, reason.token(), shared).await
+        }
+        // The desk is gone: this front is stopping.
+        Err(_) => Flow::Close,
+    }
+}
--- /dev/null
+++ b/crates/net/src/codec.rs
@@ -0,0 +1,98 @@
+//! `Framed` codecs over the codec without I/O.
+
+use bytes::BytesMut;
+use cloverhollow_http::{
+    Limits, Malformed, RequestDecoder, RequestEncoder, RequestFrame, ResponseDecoder, ResponseEncoder,
+    ResponseFrame,
+};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Why a connection is of no more use.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The peer sent what is no message.
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+    /// The socket failed.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+/// The side that reads requests and writes responses.
+#[derive(Debug, Default)]
+pub struct ServerSide {
+    decoder: RequestDecoder,
+    encoder: ResponseEncoder,
+}
+
+impl ServerSide {
+    /// With bounds on what a request may hold.
+    pub fn new(limits: Limits) -> Self {
+        ServerSide { decoder: RequestDecoder::new(limits), ..Self::default() }
+    }
+}
+
+impl Decoder for ServerSide {
+    type Item = RequestFrame;
+    type Error = WireError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<RequestFrame>, WireError> {
+        Ok(self.decoder.decode(buf)?)
+    }
+
+    fn decode_eof(&mut self, buf: &mut BytesMut) -> Result<Option<RequestFrame>, WireError> {
+        match self.decoder.decode(buf)? {
+            Some(frame) => Ok(Some(frame)),
+            None if self.decoder.is_inside(buf) => Err(Malformed::Cut.into()),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Encoder<ResponseFrame> for ServerSide {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: ResponseFrame, buf: &mut BytesMut) -> Result<(), WireError> {
+        self.encoder.encode(&frame, buf);
+        Ok(())
+    }
+}
+
+/// The side that writes requests and reads responses.
+#[derive(Debug, Default)]
+pub struct ClientSide {
+    decoder: ResponseDecoder,
+    encoder: RequestEncoder,
+}
+
+impl ClientSide {
+    /// With bounds on what a response's head may hold.
+    pub fn new(limits: Limits) -> Self {
+        ClientSide { decoder: ResponseDecoder::new(limits), ..Self::default() }
+    }
+}
+
+impl Decoder for ClientSide {
+    type Item = ResponseFrame;
+    type Error = WireError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<ResponseFrame>, WireError> {
+        Ok(self.decoder.decode(buf)?)
+    }
+
+    fn decode_eof(&mut self, buf: &mut BytesMut) -> Result<Option<ResponseFrame>, WireError> {
+        Ok(self.decoder.decode_eof(buf)?)
+    }
+}
+
+impl Encoder<RequestFrame> for ClientSide {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: RequestFrame, buf: &mut BytesMut) -> Result<(), WireError> {
+        if let RequestFrame::Head(head) = &frame {
+            self.decoder.expect(&head.method);
+        }
+        self.encoder.encode(&frame, buf);
+        Ok(())
+    }
+}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -21,7 +21,7 @@
 mod timers;
 mod types;
 
-pub use crate::core::Core;
+pub use crate::core::{Core, Tap};
 pub use gauge::Gauge;
 pub use list::{
     Feed, FeedError, ListMessage, ListNews, MessageKind, SavedList, ServerEntry, ServerList, WireState,
