--- /dev/null
+++ b/crates/record/src/write.rs
@@ -0,0 +1,84 @@
+//! Writing a record beside a running front.
+
+use crate::forms::{ActionsRef, EventsRef};
+use crate::Head;
+use cloverhollow::{Action, Event};
+use serde::Serialize;
+use std::io::{BufWriter, Write};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::time::{Duration, SystemTime};
+
+/// Most steps that wait to be written. Past them the record ends, as one with a gap could not be replayed:
+/// the desk is never held up.
+pub const MOST_WAITING: usize = 8_192;
+/// Most bytes of one file; past them the record ends.
+pub const MOST_BYTES: u64 = 4 * 1024 * 1024 * 1024;
+
+#[derive(Serialize)]
+struct StepRef<'a> {
+    now: Duration,
+    events: EventsRef<'a>,
+    actions: ActionsRef<'a>,
+}
+
+/// A record being written, by a thread of its own.
+pub struct Recorder {
+    queue: Option<SyncSender<Vec<u8>>>,
+    /// The file.
+    pub path: PathBuf,
+}
+
+impl Recorder {
+    /// Begins a file in `dir`, which is made where it is missing.
+    ///
+    /// # Errors
+    /// The folder or file cannot be made.
+    pub fn begin(dir: &Path, name: &str, settings: String, seed: u64) -> std::io::Result<Recorder> {
+        std::fs::create_dir_all(dir)?;
+        let at = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis();
+        let path = dir.join(format!("{name}-{at}.rec"));
+        let file = std::fs::File::create_new(&path)?;
+        let head = postcard::to_stdvec(&Head::new(settings, seed)).map_err(std::io::Error::other)?;
+        let (tx, rx) = sync_channel(MOST_WAITING);
+        std::thread::spawn(move || write(file, head, &rx));
+        Ok(Recorder { queue: Some(tx), path })
+    }
+
+    /// Keeps a step. Returns whether the record still goes on; it ends for good when its writer is behind.
+    pub fn step(&mut self, now: Duration, events: &[Event], actions: &[Action]) -> bool {
+        let Some(queue) = &self.queue else { return false };
+        let step = StepRef { now, events: EventsRef(events), actions: ActionsRef(actions) };
+        let kept = postcard::to_stdvec(&step).is_ok_and(|body| queue.try_send(body).is_ok());
+        if !kept {
+            self.queue = None;
+        }
+        kept
+    }
+}
+
+fn write(file: std::fs::File, head: Vec<u8>, queue: &Receiver<Vec<u8>>) {
+    let mut out = BufWriter::new(file);
+    let mut written = 0;
+    let mut put = |body: &[u8], last: bool| -> std::io::Result<()> {
+        out.write_all(&(body.len() as u32).to_le_bytes())?;
+        out.write_all(&crc32fast::hash(body).to_le_bytes())?;
+        out.write_all(body)?;
+        written += body.len() as u64;
+        // A killed front keeps all but the steps of its last moment.
+        if last {
+            out.flush()?;
+        }
+        Ok(())
+    };
+    let mut next = Some(head);
+    let mut total = 0;
+    while let Some(body) = next.or_else(|| queue.recv().ok()) {
+        let following = queue.try_recv().ok();
+        total += body.len() as u64 + 8;
+        if total > MOST_BYTES || put(&body, following.is_none()).is_err() {
+            return; // the queue's other end sees it and stops
+        }
+        next = following;
+    }
+}
--- /dev/null
+++ b/crates/record/tests/record.rs
@@ -0,0 +1,91 @@
+//! Records: written beside a module, run again, cut, garbled and foreign.
+
+use cloverhollow::*;
+use cloverhollow_record::{replay, RecordError, Recorder};
+use cloverhollow_settings::FrontSettings;
+use std::path::PathBuf;
+use std::time::Duration;
+
+fn dir(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("cloverhollow-record-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    dir
+}
+
+/// A short day of the module, recorded; `lie` changes one recorded action.
+fn recorded(name: &str, lie: bool) -> PathBuf {
+    let text = "instance: {fronts: 2}";
+    let settings = FrontSettings::parse("s.yaml", text).unwrap();
+    let mut brain = Brain::new(settings.decisions(), 42);
+    let mut recorder = Recorder::begin(&dir(name), "front-1", text.into(), 42).unwrap();
+    let entry = |server| Entry { server, weight: 1.0, started: Duration::from_secs(9), ..Entry::default() };
+    for i in 0..200u64 {
+        let now = Duration::from_secs(1000) + Duration::from_millis(i * 50);
+        let call = Call { request: i, top: 3, deadline: now + Duration::from_secs(3), ..Call::default() };
+        let mut events = vec![Event::Call(call)];
+        if i == 0 {
+            events.insert(0, Event::List(ListMode::Whole, (1..6).map(entry).collect()));
+        }
+        if i > 3 {
+            events.push(Event::Note(i - 3, 1 + i % 5, Note::Link(0.2)));
+            events.push(Event::Ended(
+                i - 1,
+                0,
+                1,
+                Outcome::Timeout,
+                false,
+                Report { link: Some(0.4), rack: None },
+            ));
+            events.push(Event::Gone(i - 2));
+            events.push(Event::Timer(1));
+        }
+        let mut actions = brain.step(now, &events);
+        if lie && i == 77 {
+            actions.push(Action::Fail(5));
+        }
+        assert!(recorder.step(now, &events, &actions));
+    }
+    let path = recorder.path.clone();
+    drop(recorder);
+    // The writer ends with its queue; wait until the file no longer grows.
+    let mut size = 0;
+    loop {
+        std::thread::sleep(Duration::from_millis(60));
+        let now = std::fs::metadata(&path).unwrap().len();
+        if now == size && now > 0 {
+            return path;
+        }
+        size = now;
+    }
+}
+
+#[test]
+fn a_record_replays_to_the_same_actions() {
+    let found = replay(&recorded("same", false)).unwrap();
+    assert_eq!((found.steps, found.cut, found.difference), (200, false, None));
+    assert!(found.events > 900 && found.actions > 200, "{} {}", found.events, found.actions);
+}
+
+#[test]
+fn a_changed_action_is_found_at_its_step() {
+    let found = replay(&recorded("lie", true)).unwrap();
+    assert_eq!(found.difference.unwrap().step, 78);
+}
+
+#[test]
+fn a_cut_file_is_read_to_its_last_whole_step_and_a_garbled_one_refused() {
+    let path = recorded("cut", false);
+    let bytes = std::fs::read(&path).unwrap();
+    std::fs::write(&path, &bytes[..bytes.len() - 3]).unwrap();
+    let found = replay(&path).unwrap();
+    assert_eq!((found.steps, found.cut), (199, true));
+    let mut bad = bytes.clone();
+    let at = bytes.len() / 2;
+    bad[at] ^= 0x40;
+    std::fs::write(&path, &bad).unwrap();
+    assert!(matches!(replay(&path), Err(RecordError::Broken { .. })), "a flipped bit is seen");
+    std::fs::write(&path, b"something else entirely").unwrap();
+    assert!(replay(&path).is_err());
+    std::fs::write(&path, b"").unwrap();
+    assert!(matches!(replay(&path), Err(RecordError::Foreign(_))));
+}
