--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -50,24 +50,17 @@
     let gate = Arc::new(Gate::default());
     let own = gate.clone();
     let task = tokio::spawn(async move {
-        let attempt = setup.attempt;
-        let input = match run(&setup, &shared, &own).await {
-            Some(End::Playing { load, answer }) => Input::Playing { attempt, load, answer },
-            Some(End::Ended { end, load }) => Input::AttemptEnded { attempt, end, load },
-            None => return, // recalled: the desk knows
-        };
-        let _ = shared.desk.send(Mail::of(input)).await;
+        // `None`: it was recalled, and the desk knows.
+        if let Some(input) = run(&setup, &shared, &own).await {
+            let _ = shared.desk.send(Mail::of(input)).await;
+        }
     });
     Held { gate, task: task.abort_handle() }
 }
 
-enum End {
-    Playing { load: Load, answer: SetupAnswer },
-    Ended { end: AttemptEnd, load: Load },
-}
-
-async fn run(setup: &Setup<Arc<Ask>>, shared: &Shared, gate: &Gate) -> Option<End> {
-    let ended = |end| Some(End::Ended { end, load: Load::default() });
+async fn run(setup: &Setup<Arc<Ask>>, shared: &Shared, gate: &Gate) -> Option<Input<Arc<Ask>, SetupAnswer>> {
+    let attempt = setup.attempt;
+    let ended = |end| Some(Input::AttemptEnded { attempt, end, load: Load::default() });
     // A connection of its own: on a used one, a close that is under way would leave it open whether the
     // set-up ran, and a paid one could not be sent again.
     let mut lease = match shared.pools.lease(setup.server, setup.address, true).await {
@@ -84,8 +77,8 @@
     let Ok(head) = lease.conn().head().await else { return ended(AttemptEnd::Reset) };
     let told = upstream::told(&head, setup.kbps);
     match head.status {
-        200..=299 => Some(End::Playing { load: told.load, answer: SetupAnswer { head, lease } }),
-        503 if told.unrun => Some(End::Ended { end: AttemptEnd::Full, load: told.load }),
-        status => Some(End::Ended { end: AttemptEnd::Error { status }, load: told.load }),
+        200..=299 => Some(Input::Playing { attempt, load: told.load, answer: SetupAnswer { head, lease } }),
+        503 if told.unrun => Some(Input::AttemptEnded { attempt, end: AttemptEnd::Full, load: told.load }),
+        status => Some(Input::AttemptEnded { attempt, end: AttemptEnd::Error { status }, load: told.load }),
     }
 }
--- /dev/null
+++ b/crates/lab/src/fronts.rs
@@ -0,0 +1,172 @@
+//! Fronts as processes of their own: started, killed outright, stopped and continued.
+
+use crate::exchange::{Log, Seen};
+use crate::policies::PolicyName;
+use rustix::process::{kill_process, Pid, Signal};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// A front that says nothing for so long after its start has failed.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+/// Why a front is not there.
+#[derive(Debug, thiserror::Error)]
+#[allow(missing_docs)] // the messages say it
+pub enum FrontError {
+    #[error("front {front}: {source}")]
+    Io { front: usize, source: std::io::Error },
+    #[error("front {front} did not start: see {log}")]
+    NotReady { front: usize, log: String },
+}
+
+/// How fronts are started.
+#[derive(Clone, Debug)]
+pub struct FrontCommand {
+    /// This program.
+    pub exe: PathBuf,
+    /// Who decides.
+    pub policy: PolicyName,
+    /// Folder of their settings, last lists, records and logs.
+    pub dir: PathBuf,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// The settings that they share.
+    pub settings: serde_json::Value,
+    /// How many there are.
+    pub fronts: usize,
+    /// Seed of the day: each front's own follows from it.
+    pub seed: u64,
+    /// Whether they record each step.
+    pub record: bool,
+}
+
+struct Slot {
+    child: Option<Child>,
+    address: SocketAddr,
+    starts: u64,
+}
+
+/// All fronts of a day.
+pub struct Fronts {
+    command: FrontCommand,
+    log: Arc<Log>,
+    slots: Vec<Mutex<Slot>>,
+}
+
+impl Fronts {
+    /// None runs yet.
+    pub fn new(command: FrontCommand, log: Arc<Log>) -> Self {
+        let slot = || Mutex::new(Slot { child: None, address: ([127, 0, 0, 1], 9).into(), starts: 0 });
+        Fronts { slots: (0..command.fronts).map(|_| slot()).collect(), command, log }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Where a front listens, or listened last.
+    pub fn address(&self, front: usize) -> SocketAddr {
+        self.slot(front).address
+    }
+
+    fn slot(&self, front: usize) -> std::sync::MutexGuard<'_, Slot> {
+        self.slots[front].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its settings: the shared ones with its own name, seed, ports and files.
+    fn settings(&self, front: usize, starts: u64) -> serde_json::Value {
+        let c = &self.command;
+        let mut s = c.settings.clone();
+        let seed = 1 + (c.seed + front as u64 * 7_919 + starts * 104_729) % 1_000_000_007;
+        s["instance"] =
+            serde_json::json!({ "name": format!("front-{front}"), "fronts": c.fronts, "seed": seed });
+        s["listen"]["address"] = "127.0.0.1:0".into();
+        s["side"] = serde_json::json!({ "address": "127.0.0.1:0" });
+        s["discovery"]["address"] = c.discovery.to_string().into();
+        s["discovery"]["last_list"] = c.dir.join(format!("front-{front}.list")).display().to_string().into();
+        s
+    }
+
+    /// Starts a front and waits until it listens.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub async fn start(&self, front: usize) -> Result<(), FrontError> {
+        let io = |source| FrontError::Io { front, source };
+        let c = &self.command;
+        let starts = {
+            let mut slot = self.slot(front);
+            slot.starts += 1;
+            slot.starts
+        };
+        let config = c.dir.join(format!("front-{front}.yaml"));
+        std::fs::write(&config, self.settings(front, starts).to_string()).map_err(io)?;
+        let log_path = c.dir.join(format!("front-{front}.log"));
+        let log = std::fs::File::options().create(true).append(true).open(&log_path).map_err(io)?;
+        let mut command = Command::new(&c.exe);
+        command.arg("front").arg("--config").arg(&config).arg("--policy").arg(c.policy.to_string());
+        if c.record {
+            command.arg("--record").arg(c.dir.join("records"));
+        }
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).kill_on_drop(true);
+        let mut child = command.spawn().map_err(io)?;
+        let not_ready = || FrontError::NotReady { front, log: log_path.display().to_string() };
+        let out = child.stdout.take().ok_or_else(not_ready)?;
+        let mut lines = BufReader::new(out).lines();
+        let line = timeout(READY_WITHIN, lines.next_line()).await;
+        let Ok(Ok(Some(line))) = line else { return Err(not_ready()) };
+        let ready: serde_json::Value = serde_json::from_str(&line).map_err(|_| not_ready())?;
+        let address = ready["address"].as_str().and_then(|a| a.parse().ok()).ok_or_else(not_ready)?;
+        let mut slot = self.slot(front);
+        (slot.child, slot.address) = (Some(child), address);
+        self.log.put(Seen::FrontUp { front });
+        Ok(())
+    }
+
+    /// Kills a front outright.
+    pub async fn kill(&self, front: usize) {
+        // Taken down first: from here on nothing is owed by it.
+        self.log.put(Seen::FrontDown { front });
+        let child = self.slot(front).child.take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+
+    fn signal(&self, front: usize, signal: Signal) {
+        let id = self.slot(front).child.as_ref().and_then(Child::id);
+        let pid = id.and_then(|id| Pid::from_raw(i32::try_from(id).unwrap_or(0)));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Has a front stand still.
+    pub fn freeze(&self, front: usize) {
+        self.log.put(Seen::FrontFrozen { front });
+        self.signal(front, Signal::STOP);
+    }
+
+    /// Has it run on.
+    pub fn thaw(&self, front: usize) {
+        self.signal(front, Signal::CONT);
+        self.log.put(Seen::FrontThawed { front });
+    }
+
+    /// Kills all that run.
+    pub async fn stop(&self) {
+        for front in 0..self.count() {
+            let child = self.slot(front).child.take();
+            if let Some(mut child) = child {
+                let _ = child.kill().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,22 @@
+//! The laboratory: everything that a front needs round it to be tried, on loopback.
+//!
+//! - [`model`]: servers, links and racks without I/O; [`standin`]: the same over sockets, with discovery.
+//! - [`script`]: a day as a file of YAML; [`viewer`]: the viewers, drawn from the day's seed.
+//! - [`day`]: plays a script against fronts that are processes of their own, and kills them where it says.
+//! - [`exchange`]: what passed over the sockets; [`rules`]: the six rules checked from that alone;
+//!   [`score`]: worth served over worth asked.
+//! - [`policies`]: baselines, and fronts broken on purpose, by which each checker is shown to fail.
+
+pub mod day;
+pub mod exchange;
+pub mod fronts;
+pub mod model;
+pub mod plan;
+pub mod policies;
+pub mod report;
+pub mod rules;
+pub mod score;
+pub mod script;
+pub mod standin;
+pub mod troubles;
+pub mod viewer;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,136 @@
+//! The command `cloverhollow-lab`.
+
+use clap::{Parser, Subcommand};
+use cloverhollow_cli::{serve, Logs, Serve, ServeError};
+use cloverhollow_lab::day::{play, DayError, Options};
+use cloverhollow_lab::policies::PolicyName;
+use cloverhollow_lab::report;
+use cloverhollow_lab::script::Day;
+use cloverhollow_settings::SettingsError;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The laboratory: tries fronts on loopback against stand-ins.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a day; exits 0 only if every rule was kept.
+    Day {
+        /// The script (YAML).
+        script: PathBuf,
+        /// Who decides: brain, random, or broken-1 to broken-6.
+        #[arg(long, default_value = "brain")]
+        policy: PolicyName,
+        /// Another seed than the script's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Prints the outcome as JSON.
+        #[arg(long)]
+        json: bool,
+        /// Writes all that passed, one JSON object a line.
+        #[arg(long)]
+        exchanges: Option<PathBuf>,
+        /// Folder for the fronts' settings, lists, records and logs. Default: a new one among temporary files.
+        #[arg(long)]
+        dir: Option<PathBuf>,
+        /// Has the fronts record each step.
+        #[arg(long)]
+        record: bool,
+        #[command(flatten)]
+        logs: Logs,
+    },
+    /// Runs one front of a day. Started by `day`.
+    #[command(hide = true)]
+    Front {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        policy: PolicyName,
+        #[arg(long)]
+        record: Option<PathBuf>,
+        #[command(flatten)]
+        logs: Logs,
+    },
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Day(#[from] DayError),
+    #[error(transparent)]
+    Serve(#[from] ServeError),
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+impl Failure {
+    fn code(&self) -> u8 {
+        match self {
+            Failure::Settings(_) => 2,
+            Failure::Serve(e) => e.code(),
+            _ => 1,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("cloverhollow-lab: {e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
+
+fn run(command: Command) -> Result<ExitCode, Failure> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    match command {
+        Command::Front { config, policy, record, logs } => {
+            logs.start();
+            let it = Serve { config, record };
+            runtime.block_on(serve(&it, |settings, seed| policy.make(settings, seed)))?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Day { script, policy, seed, json, exchanges, dir, record, logs } => {
+            logs.start();
+            let mut day = Day::load(&script)?;
+            if let Some(seed) = seed {
+                day.script.seed = seed.into();
+            }
+            let dir = dir.unwrap_or_else(|| {
+                std::env::temp_dir().join(format!("cloverhollow-day-{}", std::process::id()))
+            });
+            let options = Options { exe: std::env::current_exe()?, policy, dir, record };
+            let outcome = runtime.block_on(play(&day, &options))?;
+            if let Some(path) = exchanges {
+                write_lines(&path, &outcome.exchanges)?;
+            }
+            if json {
+                println!("{}", serde_json::to_string_pretty(&outcome).unwrap_or_default());
+            } else {
+                print!("{}", report::text(&outcome));
+            }
+            Ok(if outcome.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+    }
+}
+
+fn write_lines(path: &std::path::Path, all: &[cloverhollow_lab::exchange::Exchange]) -> std::io::Result<()> {
+    use std::io::Write;
+    let mut out = std::io::BufWriter::new(std::fs::File::create(path)?);
+    for e in all {
+        serde_json::to_writer(&mut out, e)?;
+        out.write_all(b"\n")?;
+    }
+    out.flush()
+}
--- /dev/null
+++ b/crates/lab/src/rules/answers.rs
@@ -0,0 +1,49 @@
+//! Rule 1: a request that a running front took gets exactly one answer before the viewer's time is up.
+//!
+//! Excused: a front that was killed or stood still while the request waited. Allowed: `GRACE`, for the way
+//! and for a machine that is busy.
+
+use super::{Check, Outages, Verdict};
+use crate::exchange::{Exchange, Got, Seen};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An answer so long after the viewer's time still counts as before it: the viewer's own clock is read on a
+/// machine that all fronts and servers share.
+const GRACE: Duration = Duration::from_millis(250);
+
+pub(super) fn check(all: &[Exchange]) -> Verdict {
+    let mut check = Check::new(1, "every request answered once, in time");
+    let outages = Outages::of(all);
+    let mut ends: BTreeMap<u64, Vec<(Duration, &Got)>> = BTreeMap::new();
+    for e in all {
+        if let Seen::CallEnded { call, got, .. } = &e.seen {
+            ends.entry(*call).or_default().push((e.at, got));
+        }
+    }
+    for e in all {
+        if let Seen::Stray { sid, .. } = &e.seen {
+            check.breach(e.at, || format!("session {sid}: bytes after its one answer"));
+        }
+        let Seen::Called { call, sid, front, patience, .. } = &e.seen else { continue };
+        check.case();
+        let until = e.at + *patience + GRACE;
+        if outages.touch(*front, e.at, until) {
+            continue;
+        }
+        let ended = ends.get(call).map(Vec::as_slice).unwrap_or_default();
+        match ended {
+            [(at, Got::Status { .. } | Got::HungUp)] if *at <= until => {}
+            [(at, got)] => check.breach(e.at, || {
+                let after = at.saturating_sub(e.at).as_millis();
+                format!(
+                    "session {sid} at front-{front}: {got:?} after {after} ms of {}",
+                    patience.as_millis()
+                )
+            }),
+            [] => check.breach(e.at, || format!("session {sid} at front-{front}: no answer at all")),
+            more => check.breach(e.at, || format!("session {sid} at front-{front}: {} answers", more.len())),
+        }
+    }
+    check.verdict
+}
--- /dev/null
+++ b/crates/lab/src/rules/drains.rs
@@ -0,0 +1,46 @@
+//! Rule 3: past the grace nothing new goes to a server that the front was told drains or is gone.
+//!
+//! Told is when the list was written to its stream, or when a front that stood still runs on. Allowed:
+//! `WAY`, for the list's and the set-up's way through the sockets.
+
+use super::{Check, Outages, Verdict};
+use crate::exchange::{Exchange, Seen};
+use crate::script::Script;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const WAY: Duration = Duration::from_millis(100);
+
+pub(super) fn check(all: &[Exchange], script: &Script) -> Verdict {
+    let mut check = Check::new(3, "nothing new to a draining or gone server");
+    let grace = script.front.rules.drain_grace_ms.get() + WAY;
+    let outages = Outages::of(all);
+    let mut stopped: BTreeMap<(usize, u64), Duration> = BTreeMap::new();
+    for e in all {
+        match &e.seen {
+            // A new process knows what it is told from now on, and its last list.
+            Seen::FrontUp { front } => stopped.retain(|(f, _), _| f != front),
+            Seen::ListTold { front, stopped: gone, serving } => {
+                for server in gone {
+                    stopped.entry((*front, *server)).or_insert(e.at);
+                }
+                for (server, _) in serving {
+                    stopped.remove(&(*front, *server));
+                }
+            }
+            Seen::SetupRead { server, front, sid, arrived, .. } => {
+                check.case();
+                let Some(told) = stopped.get(&(*front, *server)) else { continue };
+                let told = (*told).max(outages.running_since(*front, *arrived));
+                if *arrived > told + grace {
+                    let late = (*arrived - told).as_millis();
+                    check.breach(*arrived, || {
+                        format!("session {sid}: front-{front} sent it to server {server}, told {late} ms before that it takes nothing new")
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    check.verdict
+}
--- /dev/null
+++ b/crates/lab/src/rules/mod.rs
@@ -0,0 +1,107 @@
+//! The six rules, checked from what passed over the sockets and nothing else.
+//!
+//! Times are taken down where the stand-ins and viewers see them, a moment after the front acted. Each check
+//! says in its own file what it allows for that.
+
+mod answers;
+mod cold;
+mod drains;
+mod ration;
+mod setups;
+mod terms;
+
+use crate::exchange::{Exchange, Seen};
+use crate::script::Script;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What a check found.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// The rule, 1 to 6.
+    pub rule: u8,
+    /// In words.
+    pub name: &'static str,
+    /// How many cases it was checked on; with none it says nothing.
+    pub checked: usize,
+    /// How many broke it.
+    pub broken: usize,
+    /// The first that did.
+    pub first: Option<String>,
+}
+
+/// Collects a check's findings.
+struct Check {
+    verdict: Verdict,
+}
+
+impl Check {
+    fn new(rule: u8, name: &'static str) -> Self {
+        Check { verdict: Verdict { rule, name, checked: 0, broken: 0, first: None } }
+    }
+
+    fn case(&mut self) {
+        self.verdict.checked += 1;
+    }
+
+    fn breach(&mut self, at: Duration, what: impl FnOnce() -> String) {
+        self.verdict.broken += 1;
+        if self.verdict.first.is_none() {
+            self.verdict.first = Some(format!("at {:.3} s: {}", at.as_secs_f64(), what()));
+        }
+    }
+}
+
+/// Checks all rules.
+pub fn check(all: &[Exchange], script: &Script) -> Vec<Verdict> {
+    vec![
+        answers::check(all),
+        setups::check(all, script),
+        drains::check(all, script),
+        cold::check(all, script),
+        terms::check(all, script),
+        ration::check(all, script),
+    ]
+}
+
+/// How many servers fell over.
+pub fn toppled(all: &[Exchange]) -> usize {
+    all.iter().filter(|e| matches!(e.seen, Seen::ServerToppled { .. })).count()
+}
+
+/// When each front did not run.
+struct Outages {
+    spans: BTreeMap<usize, Vec<(Duration, Duration)>>,
+}
+
+impl Outages {
+    fn of(all: &[Exchange]) -> Self {
+        let mut spans: BTreeMap<usize, Vec<(Duration, Duration)>> = BTreeMap::new();
+        for e in all {
+            match e.seen {
+                Seen::FrontDown { front } | Seen::FrontFrozen { front } => {
+                    spans.entry(front).or_default().push((e.at, Duration::MAX));
+                }
+                Seen::FrontUp { front } | Seen::FrontThawed { front } => {
+                    if let Some(last) = spans.entry(front).or_default().last_mut() {
+                        last.1 = last.1.min(e.at);
+                    }
+                }
+                _ => {}
+            }
+        }
+        Outages { spans }
+    }
+
+    /// Whether the front did not run at some time of that span.
+    fn touch(&self, front: usize, from: Duration, to: Duration) -> bool {
+        self.spans.get(&front).is_some_and(|all| all.iter().any(|(a, b)| *a <= to && from <= *b))
+    }
+
+    /// When it last began to run, by that time.
+    fn running_since(&self, front: usize, at: Duration) -> Duration {
+        let ends = self.spans.get(&front).into_iter().flatten().map(|(_, b)| *b);
+        ends.filter(|b| *b <= at).max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rules/terms.rs
@@ -0,0 +1,97 @@
+//! Rule 5: no rung under the class's floor, over its top or over what the viewer can use, and no more sessions
+//! of one title and class at a front than there are seats.
+//!
+//! A seat is taken from the set-up's arrival until its end as the server, the viewer or the front's death
+//! shows it, whichever is first. Allowed: a session that ends within `SETTLE` after another was set up had
+//! ended for the front already (its word to the server goes a way of its own).
+
+use super::{Check, Verdict};
+use crate::exchange::{Exchange, Seen};
+use crate::script::Script;
+use cloverhollow_session::arrival::rates;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SETTLE: Duration = Duration::from_millis(250);
+
+struct Seat {
+    server: u64,
+    sid: Arc<str>,
+    from: Duration,
+    to: Duration,
+}
+
+pub(super) fn check(all: &[Exchange], script: &Script) -> Verdict {
+    let mut check = Check::new(5, "floors, tops and seats kept");
+    let classes = &script.front.classes.0;
+    let ladders: Vec<_> = (0..classes.len()).map(|c| rates(&script.front, c)).collect();
+    let mut callers: BTreeMap<&Arc<str>, (usize, usize)> = BTreeMap::new();
+    let mut seats: BTreeMap<(usize, usize, &str), Vec<Seat>> = BTreeMap::new();
+    for e in all {
+        match &e.seen {
+            Seen::Called { sid, class, top, .. } => {
+                callers.insert(sid, (*class, *top));
+            }
+            Seen::SetupRead { sid, kbps, server, front, class, title, arrived, .. } => {
+                rung(&mut check, e.at, sid, *kbps, &callers, &ladders, script);
+                if classes.get(*class).is_some_and(|c| c.seats.get() > 0) {
+                    let seat = Seat { server: *server, sid: sid.clone(), from: *arrived, to: Duration::MAX };
+                    seats.entry((*front, *class, title)).or_default().push(seat);
+                }
+            }
+            Seen::Object { sid, kbps, .. } => rung(&mut check, e.at, sid, *kbps, &callers, &ladders, script),
+            Seen::SetupClosed { server, sid, status } if *status != Some(200) => {
+                end(&mut seats, e.at, |s| s.server == *server && s.sid == *sid);
+            }
+            Seen::SessionEnded { server, sid } => {
+                end(&mut seats, e.at, |s| s.server == *server && s.sid == *sid)
+            }
+            Seen::ViewerOver { sid } => end(&mut seats, e.at, |s| s.sid == *sid),
+            Seen::ServerDown { server } => end(&mut seats, e.at, |s| s.server == *server),
+            Seen::FrontDown { front } => {
+                for (_, all) in seats.iter_mut().filter(|((f, ..), _)| f == front) {
+                    all.iter_mut().for_each(|s| s.to = s.to.min(e.at));
+                }
+            }
+            _ => {}
+        }
+    }
+    for ((front, class, title), all) in &seats {
+        let most = classes[*class].seats.count();
+        for s in all {
+            check.case();
+            let held = all.iter().filter(|o| o.from <= s.from && o.to > s.from + SETTLE).count();
+            if held > most {
+                check.breach(s.from, || format!("front-{front}: {held} sessions of {title}, {most} seats"));
+            }
+        }
+    }
+    check.verdict
+}
+
+fn end(seats: &mut BTreeMap<(usize, usize, &str), Vec<Seat>>, at: Duration, of: impl Fn(&Seat) -> bool) {
+    seats.values_mut().flatten().filter(|s| of(s)).for_each(|s| s.to = s.to.min(at));
+}
+
+fn rung(
+    check: &mut Check,
+    at: Duration,
+    sid: &Arc<str>,
+    kbps: u32,
+    callers: &BTreeMap<&Arc<str>, (usize, usize)>,
+    ladders: &[Vec<u32>],
+    script: &Script,
+) {
+    check.case();
+    let Some((class, viewer_top)) = callers.get(sid) else { return };
+    let (class_facts, ladder) = (&script.front.classes.0[*class], &ladders[*class]);
+    let floor = class_facts.floor.as_ref().map_or(0, |f| f.value);
+    let top = class_facts.top.as_ref().map_or(ladder.len() - 1, |t| t.value).min(*viewer_top);
+    let fine = ladder.iter().position(|k| *k == kbps).is_some_and(|r| r >= floor && r <= top);
+    if !fine {
+        check.breach(at, || {
+            format!("session {sid}: {kbps} kbps is no rung from {floor} to {top} of {ladder:?}")
+        });
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -46,6 +46,13 @@
             && self.framed.get_ref().try_read(&mut byte).is_err_and(quiet)
     }
 
+    /// Whether bytes have come that answer nothing. One is taken off: the connection is of no more use then.
+    pub fn has_unasked(&self) -> bool {
+        let mut byte = [0];
+        !self.framed.read_buffer().is_empty()
+            || matches!(self.framed.get_ref().try_read(&mut byte), Ok(n) if n > 0)
+    }
+
     /// Puts the head and body of a request on the wire.
     ///
     /// # Errors
--- a/crates/settings/src/ranged.rs
+++ b/crates/settings/src/ranged.rs
@@ -24,6 +24,13 @@
     }
 }
 
+/// The nearest number in range.
+impl<const LO: u64, const HI: u64> From<u64> for Num<LO, HI> {
+    fn from(n: u64) -> Self {
+        Num(n.clamp(LO, HI))
+    }
+}
+
 impl<'de, const LO: u64, const HI: u64> Deserialize<'de> for Num<LO, HI> {
     fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
         let n = i64::deserialize(d)?;
@@ -34,7 +41,7 @@
     }
 }
 
-/// A span in whole milliseconds from `LO` to `HI`.
+/// A span in whole milliseconds from `LO` to `HI`. Its default is the shortest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ms<const LO: u64, const HI: u64>(u64);
 
@@ -44,12 +51,23 @@
         Ms(ms)
     }
 
+    /// So much later, the longest at most.
+    pub fn later(self, by: Duration) -> Self {
+        Ms((self.0 + by.as_millis() as u64).min(HI))
+    }
+
     /// The span.
     pub fn get(self) -> Duration {
         Duration::from_millis(self.0)
     }
 }
 
+impl<const LO: u64, const HI: u64> Default for Ms<LO, HI> {
+    fn default() -> Self {
+        Ms(LO)
+    }
+}
+
 impl<'de, const LO: u64, const HI: u64> Deserialize<'de> for Ms<LO, HI> {
     fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
         let n = i64::deserialize(d)?;
@@ -70,6 +88,18 @@
         Real(n)
     }
 
+    /// 1, or the nearest in range.
+    pub const fn one() -> Self {
+        let (lo, hi) = (LO as f64 / 1e3, HI as f64 / 1e3);
+        Real(if lo > 1.0 {
+            lo
+        } else if hi < 1.0 {
+            hi
+        } else {
+            1.0
+        })
+    }
+
     /// The number.
     pub fn get(self) -> f64 {
         self.0
