--- a/crates/front/src/object.rs
+++ b/crates/front/src/object.rs
@@ -132,8 +132,10 @@
             lease.give_back();
             conn.flow()
         }
-        // The head may be out: all that is left is to close, so that the viewer sees the cut.
+        // Its one answer has begun: what there is of it goes out, and the close shows the viewer the cut.
+        // Guards against an answer that was fed and never written, as if the front had said nothing.
         Err(e) => {
+            let _ = timeout(write, conn.framed.flush()).await;
             tracing::debug!(session = route.map(|r| &*r.sid), error = %e, "answer cut");
             Flow::Close
         }
--- a/crates/lab/src/policies.rs
+++ b/crates/lab/src/policies.rs
@@ -161,6 +161,8 @@
 pub struct Broken {
     rule: u8,
     brain: Brain,
+    /// For each class, whether it is paid for at set-up.
+    paid_classes: Vec<bool>,
     paid: BTreeSet<RequestId>,
     calls: u64,
 }
@@ -180,13 +182,14 @@
             }
             _ => {}
         }
-        Broken { rule, brain: Brain::new(set, seed), paid: BTreeSet::new(), calls: 0 }
+        let paid_classes = set.classes.iter().map(|c| c.at_most_once).collect();
+        Broken { rule, brain: Brain::new(set, seed), paid_classes, paid: BTreeSet::new(), calls: 0 }
     }
 
     /// What the module is told in place of an event.
     fn lie(&mut self, event: &Event) -> Event {
         match (self.rule, event) {
-            (2, Event::Call(call)) if call.class == 0 => {
+            (2 | 6, Event::Call(call)) if self.paid_classes[call.class] => {
                 self.paid.insert(call.request);
                 event.clone()
             }
@@ -203,7 +206,9 @@
                 Event::List(*mode, entries.iter().map(open).collect())
             }
             // Full of eagerness: what failed is taken for a fault that will not come again.
-            (6, Event::Ended(request, n, server, Outcome::Error, closed, report)) => {
+            (6, Event::Ended(request, n, server, Outcome::Error, closed, report))
+                if !self.paid.contains(request) =>
+            {
                 Event::Ended(*request, *n, *server, Outcome::Moot, *closed, *report)
             }
             // No failure is held against a server: it is sent to at once when it is back, cold.
--- a/crates/lab/src/rules/ration.rs
+++ b/crates/lab/src/rules/ration.rs
@@ -1,6 +1,7 @@
 //! Rule 6: further attempts of one front stay in their budget, over any window of its span.
 //!
-//! Attempts that reached a server are seen, and requests that viewers sent. Allowed: `WAY` at both ends of a
+//! Attempts that reached a server are seen, and requests that viewers sent (a second request of a session that
+//! was refused is one more that the front took). Allowed: `WAY` at both ends of a
 //! window, as a front counts when it sends and takes.
 
 use super::{Check, Verdict};
@@ -17,12 +18,10 @@
     let span = ration.span_ms.get();
     let mut taken: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
     let mut further: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
-    let (mut called, mut seen) = (BTreeSet::new(), BTreeSet::new());
+    let mut seen = BTreeSet::new();
     for e in all {
         match &e.seen {
-            Seen::Called { sid, front, .. } if called.insert(sid) => {
-                taken.entry(*front).or_default().push(e.at)
-            }
+            Seen::Called { front, .. } => taken.entry(*front).or_default().push(e.at),
             Seen::SetupRead { sid, front, arrived, .. } if !seen.insert(sid) => {
                 check.case();
                 let all = further.entry(*front).or_default();
