cloverhollow-lab bench: hints, added latency, objects and set-ups a second, memory a session

Need: the measures that the running front is held to, on this machine, side by side in one run. Change: lab bench with an open-loop load that counts from the intended time, straight at the server and through the front.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,8 +5,10 @@
 //! - [`day`]: plays a script against fronts that are processes of their own, and kills them where it says.
 //! - [`exchange`]: what passed over the sockets; [`rules`]: the six rules checked from that alone;
 //!   [`score`]: worth served over worth asked.
+//! - [`bench`]: measures of a front as a process.
 //! - [`policies`]: baselines, and fronts broken on purpose, by which each checker is shown to fail.
 
+pub mod bench;
 pub mod day;
 pub mod exchange;
 pub mod fronts;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use cloverhollow_cli::{serve, Logs, Serve, ServeError};
+use cloverhollow_lab::bench::{hints, Bench};
 use cloverhollow_lab::day::{play, DayError, Options};
 use cloverhollow_lab::policies::PolicyName;
 use cloverhollow_lab::report;
@@ -9,6 +10,7 @@
 use cloverhollow_settings::SettingsError;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// The laboratory: tries fronts on loopback against stand-ins.
 #[derive(Parser)]
@@ -45,6 +47,18 @@
         #[command(flatten)]
         logs: Logs,
     },
+    /// Measures a front on this machine: hints, added latency, objects and set-ups a second, memory a session.
+    Bench {
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// Sessions held for the measure of memory.
+        #[arg(long, default_value_t = 20_000)]
+        sessions: usize,
+        /// Objects a second for the measure of latency.
+        #[arg(long, default_value_t = 5_000.0)]
+        rate: f64,
+    },
     /// Runs one front of a day. Started by `day`.
     #[command(hide = true)]
     Front {
@@ -101,6 +115,10 @@
             runtime.block_on(serve(&it, |settings, seed| policy.make(settings, seed)))?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Bench { seconds, sessions, rate } => {
+            runtime.block_on(measure(Duration::from_secs(seconds), sessions, rate))?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Day { script, policy, seed, json, exchanges, dir, record, logs } => {
             logs.start();
             let mut day = Day::load(&script)?;
@@ -134,3 +152,39 @@
     }
     out.flush()
 }
+
+async fn measure(span: Duration, sessions: usize, rate: f64) -> std::io::Result<()> {
+    let exe = std::env::current_exe()?;
+    let dir = std::env::temp_dir().join(format!("cloverhollow-bench-{}", std::process::id()));
+    let figures = hints();
+    for (name, all) in [("CMCD", figures.cmcd), ("CMSD-Dynamic", figures.cmsd)] {
+        for (bytes, ns, each) in all {
+            println!("{name}: {bytes:6} bytes  {ns:9.0} ns  {each:.2} ns a byte");
+        }
+    }
+    let bench = Bench::start(&exe, &dir, 14).await?;
+    for round in 0..3 {
+        let (through, straight) = bench.latency(64, rate, span, round).await;
+        let added =
+            |p: fn(&cloverhollow_lab::score::Percentiles) -> f64| (p(&through.ms) - p(&straight.ms)) * 1e3;
+        println!(
+            "objects at {rate:.0}/s: through p50 {:.3} p99 {:.3} ms ({:.2} cores, {} failed), straight p50 {:.3} p99 {:.3} ms; added p50 {:.0} us, p99 {:.0} us",
+            through.ms.p50, through.ms.p99, through.cores, through.failed, straight.ms.p50, straight.ms.p99,
+            added(|p| p.p50), added(|p| p.p99),
+        );
+    }
+    drop(bench);
+    for servers in [14, 250] {
+        let bench = Bench::start(&exe, &dir, servers).await?;
+        let (objects, core) = bench.most_objects(64, span, servers).await;
+        println!("{servers} servers: {objects:.0} objects a second, {core:.0} a second of the front's CPU");
+        let (setups, core) = bench.most_setups(32, span, servers).await;
+        println!("{servers} servers: {setups:.0} set-ups a second, {core:.0} a second of the front's CPU");
+    }
+    let bench = Bench::start(&exe, &dir, 14).await?;
+    let (closed, open) = bench.memory_a_session(sessions).await;
+    println!(
+        "{sessions} sessions: {closed:.2} KiB each; with its viewer's connection open {open:.2} KiB each"
+    );
+    Ok(())
+}
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -168,31 +168,19 @@
         part.map_or(0.0, |t| t.permille.get() as f64 / 1e3)
     };
     let mut forced = Vec::new();
-    let mut t = 0.0;
     // Thinning: candidates at the peak's rate, kept with the part that demand is of it.
-    while peak > 0.0 {
-        t += -(1.0 - times.random::<f64>()).ln() / peak;
-        if t >= end {
-            break;
-        }
+    for t in poisson(&mut times, peak, 0.0, end) {
         if times.random::<f64>() * peak < script.load_at(Duration::from_secs_f64(t)) * one {
             at.push((t, 1.0));
         }
     }
     for burst in bursts {
         let name = burst.tenant.as_ref().map(|n| n.as_str());
-        let (from, upto) =
-            (burst.at_ms.get().as_secs_f64(), (burst.at_ms.get() + burst.for_ms.get()).as_secs_f64());
-        let rate =
-            one * script.load_at(burst.at_ms.get()) * tenant_part(name) * (burst.size.get() - 1.0).max(0.0);
-        let mut t = from;
-        while rate > 0.0 {
-            t += -(1.0 - times.random::<f64>()).ln() / rate;
-            if t >= upto.min(end) {
-                break;
-            }
-            forced
-                .push((at.len(), script.viewers.tenants.iter().position(|p| Some(p.name.as_str()) == name)));
+        let (from, upto) = (burst.at_ms.get(), burst.at_ms.get() + burst.for_ms.get());
+        let rate = one * script.load_at(from) * tenant_part(name) * (burst.size.get() - 1.0).max(0.0);
+        let tenant = script.viewers.tenants.iter().position(|p| Some(p.name.as_str()) == name);
+        for t in poisson(&mut times, rate, from.as_secs_f64(), upto.as_secs_f64().min(end)) {
+            forced.push((at.len(), tenant));
             at.push((t, 1.0));
         }
     }
@@ -212,6 +200,21 @@
     all
 }
 
+/// Times of a Poisson process at that rate a second, from `from` until `upto`.
+fn poisson(rng: &mut ChaCha8Rng, rate: f64, from: f64, upto: f64) -> Vec<f64> {
+    let (mut t, mut all) = (from, Vec::new());
+    if rate <= 0.0 {
+        return all;
+    }
+    loop {
+        t += -(1.0 - rng.random::<f64>()).ln() / rate;
+        if t >= upto {
+            return all;
+        }
+        all.push(t);
+    }
+}
+
 /// Sessions under way at the start come within this.
 const UNDER_WAY: Duration = Duration::from_secs(6);
 
--- a/crates/lab/src/policies.rs
+++ b/crates/lab/src/policies.rs
@@ -212,9 +212,7 @@
                 Event::Ended(*request, *n, *server, Outcome::Moot, *closed, *report)
             }
             // No failure is held against a server: it is sent to at once when it is back, cold.
-            (4, Event::Ended(request, n, server, outcome, closed, report))
-                if matches!(outcome, Outcome::ConnectFailed) =>
-            {
+            (4, Event::Ended(request, n, server, Outcome::ConnectFailed, closed, report)) => {
                 Event::Ended(*request, *n, *server, Outcome::Moot, *closed, *report)
             }
             _ => event.clone(),
@@ -227,7 +225,7 @@
             // One call in four is forgotten.
             (1, action @ Action::Send(..)) => {
                 self.calls += 1;
-                (self.calls % 4 != 0).then_some(action)
+                (!self.calls.is_multiple_of(4)).then_some(action)
             }
             (5, Action::Rung(request, _)) => Some(Action::Rung(request, 0)),
             (_, action) => Some(action),
--- a/crates/lab/src/score.rs
+++ b/crates/lab/src/score.rs
@@ -201,7 +201,7 @@
         let windows: Vec<f64> = sums
             .seconds
             .chunks(WINDOW.as_secs() as usize)
-            .map(|w| add(w))
+            .map(add)
             .filter(|w| w.asked > 0.0)
             .map(Worth::part)
             .collect();
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -240,8 +240,8 @@
         let (kind, size) = (c.trouble.kind, c.trouble.size.get());
         let set = |on: bool, part: f64| {
             let mut fleet = self.world.fleet();
-            for s in c.servers.iter().filter_map(|id| Some(*id)) {
-                let Some(s) = fleet.servers.get_mut(&s) else { continue };
+            for id in &c.servers {
+                let Some(s) = fleet.servers.get_mut(id) else { continue };
                 match kind {
                     Kind::Slow => s.link_factor = if on { 1.0 / size } else { 1.0 },
                     Kind::Neighbour => s.taken = if on { size } else { 0.0 },
