What fronts know of servers: lattice, aged hearsay, messages, warm starts, without I/O

Need: a front that comes back knows its last list; it shall learn from running ones, each piece with its age.

--- /dev/null
+++ b/crates/knowledge/src/lib.rs
@@ -0,0 +1,19 @@
+//! What fronts know of servers: kept as pieces with their age and origin, merged by a lattice, exchanged
+//! between fronts. No I/O and no wall clock: times are each front's own, and a piece travels with its age.
+//!
+//! - [`facts`]: the pieces and how two of them join.
+//! - [`Book`]: one front's own pieces and those it heard; [`BookView`] is a snapshot that readers take
+//!   without blocking the book's owner.
+//! - [`wire`]: messages between fronts, with version and checksum.
+//! - [`Warmer`]: whom a front that starts asks, when, and when it counts as warm.
+//! - [`Feeds`]: how many warm starts a front feeds at a time.
+
+mod book;
+pub mod facts;
+mod feeds;
+mod warm;
+pub mod wire;
+
+pub use book::{Book, BookView, Learned, MergeError, Merged, MOST_HOPS, MOST_PEERS, MOST_SERVERS};
+pub use feeds::{Feeds, Kept, Refused};
+pub use warm::{Ask, Level, WarmSettings, Warmer, Why};
--- /dev/null
+++ b/crates/knowledge/tests/lattice.rs
@@ -0,0 +1,130 @@
+//! The lattice: joining is associative, commutative and idempotent, over random pieces of a fixed seed; and
+//! books that exchange messages in any order come to know the same.
+
+use cloverhollow_knowledge::facts::*;
+use cloverhollow_knowledge::{Book, Level};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::time::Duration;
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]))
+}
+
+fn seen() -> impl Strategy<Value = Seen> {
+    // Few values, so that ties are common.
+    (0u64..4, 0u64..3, 0u64..4, 0u8..3).prop_map(|(at, instance, seq, hops)| Seen {
+        at: Duration::from_secs(100 + at),
+        origin: Origin { observer: Observer { instance, incarnation: 1 }, seq },
+        hops,
+    })
+}
+
+fn standing() -> impl Strategy<Value = Standing> {
+    prop_oneof![Just(Standing::Serving), Just(Standing::Draining), Just(Standing::Gone)]
+}
+
+fn piece<T: std::fmt::Debug>(fact: impl Strategy<Value = T>) -> impl Strategy<Value = Option<Piece<T>>> {
+    proptest::option::of((fact, seen()).prop_map(|(fact, seen)| Piece { fact, seen }))
+}
+
+fn facts() -> impl Strategy<Value = Facts> {
+    let reading = || piece((0u32..4).prop_map(Reading));
+    (
+        piece((0u64..3, standing()).prop_map(|(version, standing)| State { version, standing })),
+        piece(
+            (0u64..3, proptest::option::of(0u32..3000))
+                .prop_map(|(incarnation, before_ms)| Start { incarnation, before_ms }),
+        ),
+        piece((0u64..3, 0u32..3, any::<bool>()).prop_map(|(incarnation, failures, lost)| Health {
+            incarnation,
+            failures,
+            lost,
+        })),
+        reading(),
+        reading(),
+        reading(),
+    )
+        .prop_map(|(state, start, health, link, rack, short)| Facts {
+            state,
+            start,
+            health,
+            link,
+            rack,
+            short,
+        })
+}
+
+fn joined(a: Facts, b: Facts) -> Facts {
+    let mut out = a;
+    out.join(&b);
+    out
+}
+
+#[test]
+fn joining_is_associative_commutative_and_idempotent() {
+    runner(20_000)
+        .run(&(facts(), facts(), facts()), |(a, b, c)| {
+            prop_assert_eq!(joined(joined(a, b), c), joined(a, joined(b, c)));
+            prop_assert_eq!(joined(a, b), joined(b, a));
+            prop_assert_eq!(joined(a, a), a);
+            let mut twice = joined(a, b);
+            prop_assert!(!twice.join(&b), "a piece that is in changes nothing");
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_newer_version_or_incarnation_goes_before_any_age() {
+    runner(5_000)
+        .run(&(facts(), facts()), |(a, b)| {
+            let j = joined(a, b);
+            for f in [a, b] {
+                if let (Some(one), Some(all)) = (f.state, j.state) {
+                    prop_assert!(all.fact >= one.fact, "a drain is never taken back by an older word");
+                }
+                if let (Some(one), Some(all)) = (f.start, j.start) {
+                    prop_assert!(all.fact.incarnation >= one.fact.incarnation);
+                }
+                if let (Some(one), Some(all)) = (f.link, j.link) {
+                    prop_assert!(all.seen.at >= one.seen.at);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn books_that_exchange_in_any_order_come_to_know_the_same() {
+    let now = Duration::from_secs(200);
+    let order = Just(vec![0usize, 1, 2, 3, 4, 5]).prop_shuffle();
+    let loads = proptest::collection::vec((0u64..4, 0u64..3, 0u64..100), 6..7);
+    runner(300)
+        .run(&(loads, order), |(loads, order)| {
+            // Three speakers, one observation each twice; a listener hears six messages in some order.
+            let mut speakers: Vec<Book> = (1..=3).map(|i| book(i)).collect();
+            let mut messages = Vec::new();
+            for (i, (server, _, load)) in loads.iter().enumerate() {
+                let at = Duration::from_secs(180 + i as u64);
+                speakers[i % 3].read(at, *server, Some(*load as f64 / 100.0), None, None);
+                messages.push(speakers[i % 3].view().message(now, 5, None, Level::Warm, Vec::new()));
+            }
+            let hear = |order: &[usize]| {
+                let mut listener = book(9);
+                for i in order {
+                    let _ = listener.merge(now, now, 5, &messages[*i]);
+                }
+                (0..4).map(|s| listener.heard(now, s).link.map(|p| (p.fact, p.seen.at))).collect::<Vec<_>>()
+            };
+            prop_assert_eq!(hear(&order), hear(&[0, 1, 2, 3, 4, 5]));
+            Ok(())
+        })
+        .unwrap();
+}
+
+fn book(instance: u64) -> Book {
+    Book::new(Observer { instance, incarnation: 1 }, 42, Duration::from_secs(30))
+}
--- a/crates/lab/src/policies.rs
+++ b/crates/lab/src/policies.rs
@@ -206,7 +206,7 @@
                 Event::List(*mode, entries.iter().map(open).collect())
             }
             // Full of eagerness: what failed is taken for a fault that will not come again.
-            (6, Event::Ended(request, n, server, Outcome::Error, closed, report))
+            (6, Event::Ended(request, n, server, Outcome::Error | Outcome::Reset, closed, report))
                 if !self.paid.contains(request) =>
             {
                 Event::Ended(*request, *n, *server, Outcome::Moot, *closed, *report)
