--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -267,6 +267,7 @@
                     self.ended(*request, *attempt, *server, *outcome, *closed)
                 }
                 Event::Gone(request) => self.gone(*request),
+                Event::Heard(heard) => self.heard(heard),
                 Event::Timer(ASK_AGAIN) => self.out.push(Action::Subscribe),
                 Event::Timer(_) => {}
             }
@@ -401,21 +402,60 @@
             self.servers.values_mut().for_each(|s| s.entry.state = Listed::Gone);
         }
         for e in entries {
-            let now = self.now;
             let s = self.servers.entry(e.server).or_default();
             let restarted = e.started > s.entry.started;
             s.entry = *e;
             if restarted {
-                // A new start ends what was held against the old process.
-                (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
-                s.cold_since = s.cold_since.max(Some(e.started));
-                self.draw_turn(e.server);
+                self.started(e.server, e.started);
             }
         }
         self.size_links();
         self.looked = None;
     }
 
+    /// A new start ends what was held against the old process.
+    fn started(&mut self, server: ServerId, at: Duration) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
+        s.cold_since = s.cold_since.max(Some(at));
+        self.draw_turn(server);
+    }
+
+    /// A peer's word on a server of the own list. Guards a front that came back against drains, starts and
+    /// failures that it slept through, and against taking the fleet for empty. It never makes it less careful;
+    /// its own list and what it sees itself take it back. May hurt: a peer that errs costs some seconds' rest.
+    fn heard(&mut self, h: &Heard) {
+        let then = self.now.saturating_sub(h.age);
+        let Some(s) = self.servers.get_mut(&h.server) else { return };
+        if h.state != Listed::Serving {
+            s.entry.state = h.state;
+        }
+        if h.started > s.entry.started {
+            s.entry.started = h.started;
+            self.started(h.server, h.started);
+        }
+        let (unknown, cell) = {
+            let s = &self.servers[&h.server];
+            (s.fails == 0 && s.sessions.is_empty(), s.entry.cell)
+        };
+        if h.failed && unknown {
+            self.failed(h.server, h.lost, "a peer's word");
+        }
+        let older = |m: Option<&Meter>| m.and_then(|m| m.read_at).is_none_or(|t| t < then);
+        let rack = self.rack_of(cell);
+        let link = h.report.link.filter(|_| older(self.servers.get(&h.server).map(|s| &s.link)));
+        let uplink = h.report.rack.filter(|_| older(rack.and_then(|r| self.racks.get(&r)).map(|r| &r.meter)));
+        self.report(h.server, h.age, Report { link, rack: uplink });
+        // It has faded since it was read.
+        if let (Some(_), Some(s)) = (link, self.servers.get_mut(&h.server)) {
+            s.link.read_at = Some(then);
+        }
+        if let (Some(_), Some(r)) = (uplink, rack.and_then(|r| self.racks.get_mut(&r))) {
+            r.meter.read_at = Some(then);
+        }
+    }
+
     /// Links by their weight, or by their kind's streams; uplinks by the rated links of their cells.
     fn size_links(&mut self) {
         let streams = |e: &Entry| self.set.streams_by_kind.get(e.kind).copied().unwrap_or(1.0);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -239,6 +239,25 @@
     Rack(f64),
 }
 
+/// A peer's word on a server, of which this front knows nothing better itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Heard {
+    /// Which server.
+    pub server: ServerId,
+    /// Its state, by a newer list than this front's own.
+    pub state: Listed,
+    /// When it last started; zero: long ago, or not told.
+    pub started: Duration,
+    /// The peer's last attempt there failed...
+    pub failed: bool,
+    /// ...in a way that may mean a restart.
+    pub lost: bool,
+    /// What it read, so long ago...
+    pub report: Report,
+    /// ...as this.
+    pub age: Duration,
+}
+
 /// What happens to a front. All events of one instant go into one call, in order of arrival.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -258,6 +277,8 @@
     Gone(RequestId),
     /// A timer has come due.
     Timer(u64),
+    /// A peer's word on a server.
+    Heard(Heard),
 }
 
 /// What a front does.
--- a/crates/decisions/tests/brain.rs
+++ b/crates/decisions/tests/brain.rs
@@ -661,3 +661,55 @@
     }
     tries.len()
 }
+
+#[test]
+fn a_peers_word_makes_a_front_more_careful_and_never_less() {
+    let heard = |h: Heard| Event::Heard(h);
+    let calls = |n: u64| (0..n).map(|r| Event::Call(call(r, 1, START))).collect::<Vec<_>>();
+    // A drain: nothing new, until the own list says otherwise.
+    let mut brain = front(settings(), 1);
+    brain.step(START, &[heard(Heard { server: 0, state: Listed::Draining, ..Heard::default() })]);
+    assert!(sends(&brain.step(START + ms(1), &calls(1))).is_empty());
+    brain.step(START + ms(2), &[heard(Heard { server: 0, ..Heard::default() })]);
+    assert!(
+        sends(&brain.step(START + ms(3), &[Event::Call(call(9, 1, START))])).is_empty(),
+        "serving opens nothing"
+    );
+    brain.step(START + ms(4), &[whole(1)]);
+    assert_eq!(sends(&brain.step(START + ms(5), &[Event::Call(call(10, 1, START))])).len(), 1);
+    // A start: cold.
+    let mut brain = front(settings(), 1);
+    brain.step(START, &[heard(Heard { server: 0, started: START - ms(100), ..Heard::default() })]);
+    assert!(sends(&brain.step(START + ms(1), &calls(10))).len() <= 1);
+    // A failure: rested, unless the front's own sessions play there.
+    let failed = Heard { server: 0, failed: true, lost: true, ..Heard::default() };
+    let mut brain = front(settings(), 1);
+    brain.step(START, &[heard(failed)]);
+    assert!(sends(&brain.step(START + ms(1), &calls(1))).is_empty());
+    let mut brain = front(settings(), 1);
+    play(&mut brain, 50, 1, START);
+    brain.step(START + ms(200), &[heard(failed)]);
+    assert_eq!(sends(&brain.step(START + ms(201), &calls(1))).len(), 1);
+}
+
+#[test]
+fn a_peers_reading_counts_by_its_age_and_an_own_later_one_goes_before() {
+    let full =
+        |age| Heard { server: 0, report: Report { link: Some(1.2), rack: None }, age, ..Heard::default() };
+    let sent = |brain: &mut Brain, now| sends(&brain.step(now, &[Event::Call(call(1, 1, now))])).len();
+    let mut brain = front(settings(), 1);
+    brain.step(START, &[Event::Heard(full(ms(1000)))]);
+    assert_eq!(sent(&mut brain, START + ms(1)), 0);
+    // It has faded by its whole age: after 20 s more it is 21 s old of 30.
+    assert_eq!(sent(&mut brain, START + ms(20_000)), 1);
+    let mut brain = front(settings(), 1);
+    brain.step(START, &[Event::Heard(full(ms(29_500)))]);
+    assert_eq!(sent(&mut brain, START + ms(1)), 1, "too old to count");
+    let mut brain = front(settings(), 1);
+    let server = play(&mut brain, 60, 1, START);
+    brain.step(START + ms(150), &[Event::Note(60, server, Note::Link(0.3))]);
+    brain.step(START + ms(200), &[Event::Heard(full(ms(5000)))]);
+    assert_eq!(sent(&mut brain, START + ms(201)), 1, "its own reading is later");
+    // A server that the own list never named is never sent to.
+    brain.step(START + ms(300), &[Event::Heard(Heard { server: 77, ..full(ms(0)) })]);
+}
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -4,6 +4,7 @@
 //! steps, and hands commands to tasks of their own. Dropping it drops all attempts that are out.
 
 use crate::attempt::{self, Held};
+use crate::peers::Outcome;
 use crate::release::Releases;
 use crate::side::State;
 use crate::upstream::{Ask, SetupAnswer};
@@ -60,6 +61,7 @@
     held: HashMap<AttemptId, Held>,
     releases: Releases,
     saver: watch::Sender<Option<SavedList>>,
+    outcomes: mpsc::Sender<Outcome>,
     state: Arc<State>,
 }
 
@@ -71,10 +73,21 @@
         shared: Arc<Shared>,
         mails: mpsc::Receiver<Mail>,
         saver: watch::Sender<Option<SavedList>>,
+        outcomes: mpsc::Sender<Outcome>,
         state: Arc<State>,
     ) -> Self {
         let releases = Releases::new(shared.clone());
-        Desk { core, shared, mails, replies: HashMap::new(), held: HashMap::new(), releases, saver, state }
+        Desk {
+            core,
+            shared,
+            mails,
+            replies: HashMap::new(),
+            held: HashMap::new(),
+            releases,
+            saver,
+            outcomes,
+            state,
+        }
     }
 
     pub(crate) async fn run(mut self) {
@@ -163,6 +176,11 @@
                 let (Answer::Stream { route, .. } | Answer::Follow(route)) = refused else { return None };
                 Some(Input::Over { sid: route.sid.clone(), why: cloverhollow_session::OverWhy::Quit })
             }
+            Command::Merged { peer, outcome } => {
+                // Its reader is only ever behind by as many as it asks at once.
+                let _ = self.outcomes.try_send((peer, outcome));
+                None
+            }
             Command::Release { address, server, sid } => {
                 self.releases.tell(server, address, sid);
                 None
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod desk;
 mod discovery;
 mod object;
+mod peers;
 mod pool;
 mod release;
 mod save;
@@ -21,7 +22,7 @@
 
 pub use clock::Clock;
 
-use cloverhollow_session::{Core, Policy, Routes, Stats, Tap};
+use cloverhollow_session::{Core, Policy, Routes, Shelf, Stats, Tap};
 use cloverhollow_settings::FrontSettings;
 use desk::Desk;
 use pool::Pools;
@@ -43,6 +44,7 @@
     pub(crate) clock: Clock,
     pub(crate) routes: Arc<Routes>,
     pub(crate) stats: Arc<Stats>,
+    pub(crate) shelf: Arc<Shelf>,
     pub(crate) pools: Pools,
     pub(crate) desk: mpsc::Sender<desk::Mail>,
     pub(crate) via: String,
@@ -99,7 +101,7 @@
         let address = local(&listener, settings.listen.address);
         let side_address = side.as_ref().map(|s| local(s, address));
 
-        let mut core = Core::new(policy, settings.clone());
+        let mut core = Core::new(policy, settings.clone(), fastrand::u64(1..));
         if let Some(tap) = tap {
             core.set_tap(tap);
         }
@@ -109,6 +111,7 @@
             clock,
             routes: core.routes(),
             stats: core.stats(),
+            shelf: core.shelf(),
             pools: Pools::new(&settings.servers),
             desk: mail,
             via: format!("1.1 {}", settings.instance.name.as_str()),
@@ -116,16 +119,18 @@
             settings: settings.clone(),
         });
         let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        let state = Arc::new(side::State::default());
+        let state = Arc::new(side::State::new(&settings.peers));
+        let (outcome, outcomes) = mpsc::channel(peers::MOST_OUTCOMES);
 
         // The last list goes in before the first request can: the desk reads its mails in order.
         if let Some(news) = save::load(&settings).await {
             let _ = shared.desk.send(desk::Mail::list(news)).await;
         }
         let saver = save::spawn(&tasks, &settings, &stop);
-        let desk = Desk::new(core, shared.clone(), mails, saver, state.clone());
+        let desk = Desk::new(core, shared.clone(), mails, saver, outcome, state.clone());
         tasks.spawn(until(stop.clone(), desk.run()));
         tasks.spawn(until(stop.clone(), discovery::run(shared.clone())));
+        tasks.spawn(until(stop.clone(), peers::run(shared.clone(), state.clone(), side_address, outcomes)));
         if let Some(side) = side {
             tasks.spawn(until(stop.clone(), side::run(side, shared.clone(), state)));
         }
--- a/crates/front/src/side.rs
+++ b/crates/front/src/side.rs
@@ -1,31 +1,54 @@
-//! `/health` and `/metrics` for operators.
+//! The side address: `/health` and `/metrics` for operators, `/v1/knowledge` for peers.
 
+use crate::peers::{AFTER, FORMAT_ARG, FROM, HOLD_OFF, NONCE, PATH};
 use crate::Shared;
-use cloverhollow_http::{Limits, RequestFrame, ResponseHead};
-use cloverhollow_net::{answer, ServerSide};
+use bytes::Bytes;
+use cloverhollow_http::{Limits, RequestFrame, RequestHead, ResponseHead};
+use cloverhollow_knowledge::{wire, Feeds, Level, Why, MOST_PEERS};
+use cloverhollow_net::{answer, ServerConn, ServerSide};
 use cloverhollow_session::ServerList;
 use futures_util::StreamExt;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 /// Most side connections at once; a further one is closed.
-const MOST: usize = 32;
+const MOST: usize = 128;
 /// Time for one of them, from accept to answer.
 const WITHIN: Duration = Duration::from_secs(5);
 
-/// What the desk says of itself.
-#[derive(Debug, Default)]
+/// What the front's tasks say of themselves.
+#[derive(Debug)]
 pub(crate) struct State {
     version: AtomicU64,
     serving: AtomicU64,
     held: AtomicU64,
+    level: Mutex<(Level, Why)>,
+    peers: Mutex<BTreeSet<SocketAddr>>,
+    feeds: Mutex<Feeds>,
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl State {
+    pub(crate) fn new(settings: &cloverhollow_settings::Peers) -> Self {
+        State {
+            version: AtomicU64::new(0),
+            serving: AtomicU64::new(0),
+            held: AtomicU64::new(0),
+            level: Mutex::new((Level::Cold, Why::NotBegun)),
+            peers: Mutex::new(settings.addresses.iter().copied().collect()),
+            feeds: Mutex::new(Feeds::new(settings.feeds.count(), settings.hold_off_ms.get())),
+        }
+    }
+
     pub(crate) fn set_list(&self, list: &ServerList) {
         self.version.store(list.version(), Relaxed);
         self.serving.store(list.serving() as u64, Relaxed);
@@ -34,18 +57,46 @@
     pub(crate) fn set_held(&self, held: usize) {
         self.held.store(held as u64, Relaxed);
     }
+
+    /// Sets how warm the front is; whether that changed.
+    pub(crate) fn set_level(&self, level: Level, why: Why) -> bool {
+        std::mem::replace(&mut *lock(&self.level), (level, why)) != (level, why)
+    }
+
+    /// Peers that are known from elsewhere.
+    pub(crate) fn set_peers(&self, all: Vec<SocketAddr>) {
+        let mut peers = lock(&self.peers);
+        let room = MOST_PEERS.saturating_sub(peers.len());
+        let new: Vec<_> = all.into_iter().filter(|p| !peers.contains(p)).take(room).collect();
+        peers.extend(new);
+    }
+}
+
+/// Ends a feed however its connection ends.
+struct Feeding<'a>(&'a State);
+
+impl Drop for Feeding<'_> {
+    fn drop(&mut self) {
+        lock(&self.0.feeds).end();
+    }
 }
 
 pub(crate) async fn run(listener: TcpListener, shared: Arc<Shared>, state: Arc<State>) {
     let room = Arc::new(tokio::sync::Semaphore::new(MOST));
+    // Dropped with this future, and the connections' tasks with it.
+    let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
         let Ok(permit) = room.clone().try_acquire_owned() else { continue };
         let (shared, state) = (shared.clone(), state.clone());
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let _ = timeout(WITHIN, one(stream, &shared, &state)).await;
             drop(permit);
         });
@@ -55,32 +106,94 @@
 async fn one(stream: TcpStream, shared: &Shared, state: &State) {
     let mut conn = Framed::new(stream, ServerSide::new(Limits::default()));
     let Some(Ok(RequestFrame::Head(request))) = conn.next().await else { return };
-    let (version, serving, held) =
-        (state.version.load(Relaxed), state.serving.load(Relaxed), state.held.load(Relaxed));
     let (status, body) = match request.target.path() {
-        "/health" => {
-            let ready = serving > 0;
-            let body = serde_json::json!({
-                "name": shared.settings.instance.name.as_str(),
-                "ready": ready,
-                "why": if ready { "serving" } else { "no server takes new work" },
-                "list_version": version,
-                "servers_serving": serving,
-                "sessions": held,
-                "playing": shared.routes.len(),
-            });
-            (if ready { 200 } else { 503 }, body.to_string())
-        }
-        "/metrics" => {
-            let mut text = shared.stats.text();
-            for (name, n) in [("sessions", held), ("servers_serving", serving), ("list_version", version)] {
-                text.push_str(&format!("cloverhollow_{name} {n}\n"));
-            }
-            (200, text)
-        }
+        "/health" => health(shared, state),
+        "/metrics" => (200, metrics(shared, state)),
+        PATH => return knowledge(&mut conn, &request, shared, state).await,
         _ => (404, String::new()),
     };
-    let mut head = ResponseHead::new(status, body.len());
+    say(&mut conn, ResponseHead::new(status, body.len()), body).await;
+}
+
+async fn say(conn: &mut ServerConn, mut head: ResponseHead, body: impl Into<Bytes>) {
     head.keep_alive = false;
-    let _ = answer(&mut conn, head, body).await;
+    let _ = answer(conn, head, body).await;
+}
+
+fn health(shared: &Shared, state: &State) -> (u16, String) {
+    let serving = state.serving.load(Relaxed);
+    let (level, why) = *lock(&state.level);
+    let ready = serving > 0;
+    let body = serde_json::json!({
+        "name": shared.settings.instance.name.as_str(),
+        "ready": ready,
+        "why": if ready { "serving" } else { "no server takes new work" },
+        "level": level.word(),
+        "level_why": why.words(),
+        "knows_servers": shared.shelf.view().servers(),
+        "list_version": state.version.load(Relaxed),
+        "servers_serving": serving,
+        "sessions": state.held.load(Relaxed),
+        "playing": shared.routes.len(),
+    });
+    (if ready { 200 } else { 503 }, body.to_string())
+}
+
+fn metrics(shared: &Shared, state: &State) -> String {
+    let mut text = shared.stats.text();
+    for (name, n) in
+        [("sessions", &state.held), ("servers_serving", &state.serving), ("list_version", &state.version)]
+    {
+        text.push_str(&format!("cloverhollow_{name} {}\n", n.load(Relaxed)));
+    }
+    text.push_str(&format!("cloverhollow_level {}\n", lock(&state.level).0 as u8));
+    text
+}
+
+/// A peer asks: the whole, a delta, or the rest of what was cut off.
+async fn knowledge(conn: &mut ServerConn, request: &RequestHead, shared: &Shared, state: &State) {
+    let number = |name: &str| request.target.argument(name).and_then(|t| t.parse::<u64>().ok());
+    let Some(nonce) = number(NONCE) else { return say(conn, ResponseHead::new(400, 0), Bytes::new()).await };
+    if number(FORMAT_ARG) != Some(wire::FORMAT.into()) {
+        return say(conn, ResponseHead::new(406, 0), Bytes::new()).await;
+    }
+    let begun = lock(&state.feeds).begin();
+    if let Err(refused) = begun {
+        let mut head = ResponseHead::new(503, 0);
+        head.headers.push("retry-after", refused.after.as_secs_f64().ceil().to_string());
+        head.headers.push(HOLD_OFF, refused.after.as_millis().to_string());
+        return say(conn, head, Bytes::new()).await;
+    }
+    let _feeding = Feeding(state);
+    shared.stats.peer_fed.fetch_add(1, Relaxed);
+    let now = shared.clock.now();
+    let text = |name: &str| request.headers.text(name);
+    let tag = text("if-range").and_then(|t| t.trim_matches('"').parse().ok());
+    let from = text("range").and_then(|r| r.strip_prefix("bytes=")?.strip_suffix('-')?.parse::<usize>().ok());
+    let kept = tag.and_then(|tag| lock(&state.feeds).kept(now, tag));
+    let (status, kept, from) = match (kept, from) {
+        (Some(kept), Some(from)) if from <= kept.bytes.len() => (206, kept, from),
+        _ => {
+            if let Some(peer) = request.target.argument(FROM).and_then(|a| a.parse().ok()) {
+                state.set_peers(vec![peer]);
+            }
+            let peers = lock(&state.peers).iter().copied().take(MOST_PEERS).collect();
+            let level = lock(&state.level).0;
+            let message = shared.shelf.view().message(now, nonce, number(AFTER), level, peers);
+            let Ok(bytes) = message.encode() else {
+                return say(conn, ResponseHead::new(500, 0), Bytes::new()).await;
+            };
+            (200, lock(&state.feeds).keep(now, bytes), 0)
+        }
+    };
+    let rest = Bytes::copy_from_slice(&kept.bytes[from..]);
+    shared.stats.peer_fed_bytes.fetch_add(rest.len() as u64, Relaxed);
+    let mut head = ResponseHead::new(status, rest.len());
+    head.headers.push("content-type", "application/vnd.cloverhollow.knowledge");
+    head.headers.push("etag", format!("\"{}\"", kept.tag));
+    if status == 206 {
+        let last = kept.bytes.len().saturating_sub(1);
+        head.headers.push("content-range", format!("bytes {from}-{last}/{}", kept.bytes.len()));
+    }
+    say(conn, head, rest).await;
 }
--- a/crates/knowledge/src/wire.rs
+++ b/crates/knowledge/src/wire.rs
@@ -131,6 +131,26 @@
 }
 
 impl Message {
+    /// Only what goes by versions, as if seen now: states and starts. For what was kept over a stop of
+    /// unknown length.
+    pub fn without_ages(&self) -> Message {
+        fn fresh<T: Copy>(p: Option<WirePiece<T>>) -> Option<WirePiece<T>> {
+            // Its observer may be the very front that reads it back: then it is hearsay of its past.
+            p.map(|p| WirePiece { age_ms: 0, origin: Origin { observer: Observer::default(), seq: 0 }, ..p })
+        }
+        let cold = |s: WirePiece<Start>| WirePiece {
+            fact: Start { before_ms: s.fact.before_ms.map(|_| 0), ..s.fact },
+            ..s
+        };
+        let only = |f: &WireFacts| WireFacts {
+            state: fresh(f.state),
+            start: fresh(f.start).map(cold),
+            ..WireFacts::default()
+        };
+        let servers = self.servers.iter().map(|(id, f)| (*id, only(f))).collect();
+        Message { servers, sender: Observer::default(), peers: Vec::new(), ..self.clone() }
+    }
+
     /// As bytes.
     ///
     /// # Errors
--- a/crates/knowledge/tests/lattice.rs
+++ b/crates/knowledge/tests/lattice.rs
@@ -105,7 +105,7 @@
     runner(300)
         .run(&(loads, order), |(loads, order)| {
             // Three speakers, one observation each twice; a listener hears six messages in some order.
-            let mut speakers: Vec<Book> = (1..=3).map(|i| book(i)).collect();
+            let mut speakers: Vec<Book> = (1..=3).map(book).collect();
             let mut messages = Vec::new();
             for (i, (server, _, load)) in loads.iter().enumerate() {
                 let at = Duration::from_secs(180 + i as u64);
--- a/crates/record/src/forms.rs
+++ b/crates/record/src/forms.rs
@@ -1,7 +1,7 @@
 //! The module's vocabulary as serde sees it. The interface itself stays free of any format.
 
 use cloverhollow::{
-    Action, Call, Entry, Event, ListMode, Listed, Note, Outcome, Report, RequestId, ServerId, TitleId,
+    Action, Call, Entry, Event, Heard, ListMode, Listed, Note, Outcome, Report, RequestId, ServerId, TitleId,
 };
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::time::Duration;
@@ -78,6 +78,20 @@
     started: Duration,
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "Heard")]
+struct HeardForm {
+    server: ServerId,
+    #[serde(with = "ListedForm")]
+    state: Listed,
+    started: Duration,
+    failed: bool,
+    lost: bool,
+    #[serde(with = "ReportForm")]
+    report: Report,
+    age: Duration,
+}
+
 #[derive(Serialize, Deserialize)]
 #[serde(remote = "Event")]
 enum EventForm {
@@ -96,6 +110,7 @@
     ),
     Gone(RequestId),
     Timer(u64),
+    Heard(#[serde(with = "HeardForm")] Heard),
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -2,6 +2,7 @@
 
 use crate::arrival;
 use crate::gauge::Gauge;
+use crate::learn::{Learning, Shelf};
 use crate::list::{ListNews, SavedList, ServerList};
 use crate::policy::Policy;
 use crate::routes::{Route, Routes};
@@ -76,20 +77,20 @@
     list: ServerList,
     gauges: HashMap<ServerId, Arc<Gauge>>,
     spent: Spent,
+    learning: Learning,
     timers: Timers,
     events: Vec<Event>,
     commands: Vec<Command<A, B>>,
 }
 
 impl<P: Policy, A: Clone, B> Core<P, A, B> {
-    /// A front that knows no server yet.
-    pub fn new(policy: P, settings: Arc<FrontSettings>) -> Self {
+    /// A front that knows no server yet. `incarnation`: a number that no other start of it has.
+    pub fn new(policy: P, settings: Arc<FrontSettings>, incarnation: u64) -> Self {
         let classes = settings.classes.0.len();
         let rates = (0..classes).map(|c| arrival::rates(&settings, c).into()).collect();
         let spent = Spent::new(settings.sessions.spent.count());
         Core {
             policy,
-            settings,
             rates,
             routes: Arc::new(Routes::default()),
             stats: Arc::new(Stats::default()),
@@ -102,9 +103,11 @@
             list: ServerList::default(),
             gauges: HashMap::new(),
             spent,
+            learning: Learning::new(&settings, incarnation),
             timers: Timers::default(),
             events: Vec::new(),
             commands: Vec::new(),
+            settings,
         }
     }
 
@@ -118,6 +121,11 @@
         self.routes.clone()
     }
 
+    /// What this front knows of servers, for its peers.
+    pub fn shelf(&self) -> Arc<Shelf> {
+        self.learning.shelf()
+    }
+
     /// Counts for operators.
     pub fn stats(&self) -> Arc<Stats> {
         self.stats.clone()
@@ -175,6 +183,7 @@
                 self.act(action);
             }
         }
+        self.learning.publish();
         std::mem::take(&mut self.commands)
     }
 
@@ -192,6 +201,21 @@
                 }
             }
             Input::List(news) => self.news(news),
+            Input::Told { peer, asked_at, nonce, message } => {
+                let merged = self.learning.merge(self.now, asked_at, nonce, &message);
+                let outcome = merged.map(|(heard, said)| {
+                    self.events.extend(heard.into_iter().map(Event::Heard));
+                    said
+                });
+                if let Err(error) = outcome {
+                    tracing::warn!(%peer, %error, "a peer's word is not taken");
+                }
+                self.commands.push(Command::Merged { peer, outcome });
+            }
+            Input::Remembered(message) => {
+                let heard = self.learning.remember(self.now, &message);
+                self.events.extend(heard.into_iter().map(Event::Heard));
+            }
         }
     }
 
@@ -384,6 +408,7 @@
         let Some(address) = self.list.address(server) else { return };
         self.out_at.remove(&(server, attempt));
         count(&self.stats.playing);
+        self.learning.behaved(self.now, server, true, false);
         let request = attempt.request;
         self.events.push(Event::Playing(request, attempt.number, server, self.now.saturating_sub(since)));
         let route = Arc::new(Route {
@@ -439,6 +464,13 @@
             (AttemptEnd::Unanswered, Some(RecallWhy::HungUp)) => Outcome::Cancelled,
             (AttemptEnd::Unanswered, _) => Outcome::Timeout,
         };
+        match outcome {
+            Outcome::Error => self.learning.behaved(self.now, server, false, false),
+            Outcome::ConnectFailed | Outcome::Reset | Outcome::Timeout => {
+                self.learning.behaved(self.now, server, false, outcome != Outcome::Timeout);
+            }
+            _ => {}
+        }
         if outcome == Outcome::Moot {
             count(&self.stats.recalled_unsent);
         }
@@ -471,6 +503,7 @@
         if !playing {
             return;
         }
+        self.learning.read(self.now, server, load);
         let notes = [load.share.map(Note::Share), load.rack.map(Note::Rack), load.link.map(Note::Link)];
         self.events.extend(notes.into_iter().flatten().map(|n| Event::Note(request, server, n)));
     }
@@ -483,6 +516,9 @@
         self.stats.over(why);
         tracing::debug!(session = %s.sid, server = route.server, ?why, "over");
         let (address, server) = (route.address, route.server);
+        if why == OverWhy::Lost {
+            self.learning.behaved(self.now, server, false, true);
+        }
         self.commands.push(Command::Release { address, server, sid: s.sid.clone() });
         self.events.push(Event::Ended(request, attempt.number, server, outcome, true, Report::default()));
         self.forget(request);
@@ -507,6 +543,7 @@
             tracing::warn!(version = self.list.version(), "server list broken; the last one stays");
         }
         self.events.push(Event::List(news.mode, applied.entries));
+        self.events.extend(self.learning.listed(self.now, &news).into_iter().map(Event::Heard));
         // Rule 3: a drain that comes between choice and send. What has not been sent is called back; the
         // module is told that it never ran, and picks anew.
         for server in applied.stopped {
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod arrival;
 mod core;
 mod gauge;
+mod learn;
 mod list;
 mod policy;
 mod routes;
@@ -23,6 +24,7 @@
 
 pub use crate::core::{Core, Tap};
 pub use gauge::Gauge;
+pub use learn::Shelf;
 pub use list::{
     Feed, FeedError, ListMessage, ListNews, MessageKind, SavedList, ServerEntry, ServerList, WireState,
 };
--- a/crates/session/src/stats.rs
+++ b/crates/session/src/stats.rs
@@ -18,6 +18,10 @@
     pub late_answers: AtomicU64,
     pub rung_changes: AtomicU64,
     pub objects: AtomicU64,
+    pub peer_questions: AtomicU64,
+    pub peer_bytes: AtomicU64,
+    pub peer_fed: AtomicU64,
+    pub peer_fed_bytes: AtomicU64,
     pub refused: [AtomicU64; Reason::ALL.len()],
     pub failed: [AtomicU64; Reason::ALL.len()],
     pub over: [AtomicU64; 5],
@@ -61,6 +65,10 @@
             ("late_answers", &self.late_answers),
             ("rung_changes", &self.rung_changes),
             ("objects", &self.objects),
+            ("peer_questions", &self.peer_questions),
+            ("peer_bytes", &self.peer_bytes),
+            ("peer_fed", &self.peer_fed),
+            ("peer_fed_bytes", &self.peer_fed_bytes),
         ] {
             line(name, "", n);
         }
--- a/crates/session/src/types.rs
+++ b/crates/session/src/types.rs
@@ -4,6 +4,8 @@
 use crate::routes::Route;
 use cloverhollow::{RequestId, ServerId, TitleId};
 use cloverhollow_hints::{Contradictions, Faults};
+use cloverhollow_knowledge::wire::Message;
+use cloverhollow_knowledge::{Level, MergeError};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -158,6 +160,19 @@
     },
     /// News of the server list.
     List(ListNews),
+    /// A peer's answer to a question.
+    Told {
+        /// Whose.
+        peer: SocketAddr,
+        /// When the question went out.
+        asked_at: Duration,
+        /// What it was asked with.
+        nonce: u64,
+        /// The answer.
+        message: Box<Message>,
+    },
+    /// The message that this front itself kept before its start.
+    Remembered(Box<Message>),
 }
 
 /// Why an attempt is recalled.
@@ -295,4 +310,22 @@
         /// Which session.
         sid: Sid,
     },
+    /// A peer's answer was merged, or refused whole.
+    Merged {
+        /// Whose.
+        peer: SocketAddr,
+        /// How warm the peer is, its last change, and the peers that it knows.
+        outcome: Result<PeerSaid, MergeError>,
+    },
+}
+
+/// What a merged answer says of its sender.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerSaid {
+    /// How warm it is.
+    pub level: Level,
+    /// Number of its last change: what the next delta is asked after.
+    pub seq: u64,
+    /// Peers that it knows.
+    pub peers: Vec<SocketAddr>,
 }
--- a/crates/session/tests/common/mod.rs
+++ b/crates/session/tests/common/mod.rs
@@ -32,7 +32,7 @@
 
 pub fn core() -> TestCore {
     let s = settings(SETTINGS);
-    Core::new(Brain::new(s.decisions(), 7), s)
+    Core::new(Brain::new(s.decisions(), 7), s, 1)
 }
 
 pub fn server(id: u64, state: WireState) -> ServerEntry {
@@ -78,6 +78,7 @@
             Command::Send(s) => format!("send {} {}", s.sid, s.attempt),
             Command::Recall { attempt, why } => format!("recall {attempt} {why:?}"),
             Command::Release { sid, .. } => format!("release {sid}"),
+            Command::Merged { outcome, .. } => format!("merged {}", outcome.is_ok()),
             Command::Answer { viewer, answer } => {
                 let v = viewer.0;
                 match answer {
--- a/crates/session/tests/days.rs
+++ b/crates/session/tests/days.rs
@@ -98,7 +98,7 @@
                 );
                 None
             }
-            Command::Release { .. } => None,
+            Command::Release { .. } | Command::Merged { .. } => None,
         }
     }
 
