What a front keeps over a stop lies in an embedded store; a fleet's returns compared

A front that asks peers takes viewers on once its warm start has ended, or after peers.hold_ms: before, one set-up went to a drained server in its first 300 ms. Found by tests: redb panics on some garbled files; both opening and writing answer with an error now.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use clock::Clock;
 
-use cloverhollow_session::{Core, Policy, Routes, Shelf, Stats, Tap};
+use cloverhollow_session::{Core, Input, Policy, Routes, Shelf, Stats, Tap};
 use cloverhollow_settings::FrontSettings;
 use desk::Desk;
 use pool::Pools;
@@ -122,19 +122,33 @@
         let state = Arc::new(side::State::new(&settings.peers));
         let (outcome, outcomes) = mpsc::channel(peers::MOST_OUTCOMES);
 
-        // The last list goes in before the first request can: the desk reads its mails in order.
-        if let Some(news) = save::load(&settings).await {
+        // What was kept goes in before the first request can: the desk reads its mails in order.
+        let loaded = save::load(&settings).await;
+        if let Some(news) = loaded.list {
             let _ = shared.desk.send(desk::Mail::list(news)).await;
         }
-        let saver = save::spawn(&tasks, &settings, &stop);
+        if let Some(message) = loaded.knowledge {
+            let _ = shared.desk.send(desk::Mail::of(Input::Remembered(message))).await;
+        }
+        let saver = save::spawn(&tasks, &settings, loaded.keep, shared.shelf.clone(), clock, &stop);
         let desk = Desk::new(core, shared.clone(), mails, saver, outcome, state.clone());
         tasks.spawn(until(stop.clone(), desk.run()));
         tasks.spawn(until(stop.clone(), discovery::run(shared.clone())));
+        let asks = !settings.peers.addresses.is_empty();
+        if asks {
+            state.set_level(cloverhollow_knowledge::Level::Warming, cloverhollow_knowledge::Why::Asking);
+        }
         tasks.spawn(until(stop.clone(), peers::run(shared.clone(), state.clone(), side_address, outcomes)));
         if let Some(side) = side {
-            tasks.spawn(until(stop.clone(), side::run(side, shared.clone(), state)));
+            tasks.spawn(until(stop.clone(), side::run(side, shared.clone(), state.clone())));
         }
-        tasks.spawn(until(stop.clone(), accept(listener, shared)));
+        // Connections wait in the listener's queue meanwhile. Guards against the first moment of a front that
+        // comes back: its last list may name servers that have drained since.
+        let hold = settings.peers.hold_ms.get();
+        tasks.spawn(until(stop.clone(), async move {
+            let _ = tokio::time::timeout(hold, state.not_warming()).await;
+            accept(listener, shared).await;
+        }));
         tracing::info!(%address, name = settings.instance.name.as_str(), "front started");
         Ok(Front { address, side: side_address, stop, tasks })
     }
--- a/crates/front/src/save.rs
+++ b/crates/front/src/save.rs
@@ -1,83 +1,109 @@
-//! The last list on disk: replaced atomically, read at the next start as its stale copy.
+//! What is kept over a stop: the last list and the knowledge, in the embedded store of `keep.file`.
 //!
-//! Written to a file beside it, synced, and renamed over it: a crash leaves the old or the new one. A file
-//! that cannot be read or is of another format is set aside, and the start goes on without.
+//! Read at the start, and written when a list comes, when knowledge has changed for `keep.knowledge_ms`, and
+//! at the stop; each write is on the disk before the next begins. All of it on a thread that may block. What
+//! cannot be trusted is set aside, and the start goes on cold; what cannot be kept costs the next start its
+//! copy, and nothing else.
 
-use cloverhollow_session::{ListNews, SavedList};
+use cloverhollow_knowledge::wire::Message;
+use cloverhollow_knowledge::Level;
+use cloverhollow_session::{ListNews, SavedList, Shelf};
 use cloverhollow_settings::FrontSettings;
-use std::io::Write;
-use std::path::{Path, PathBuf};
+use cloverhollow_store::{Keep, Kept};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::task::spawn_blocking;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// The list is written at most so often; the last one of a burst counts.
+use crate::Clock;
+
+/// A list is kept at most so often; the last one of a burst counts.
 const EVERY: Duration = Duration::from_millis(250);
 
-fn beside(path: &Path, ending: &str) -> PathBuf {
-    let mut name = path.file_name().unwrap_or_default().to_os_string();
-    name.push(ending);
-    path.with_file_name(name)
+/// What was kept, as far as it can be trusted, and the store to go on with.
+#[derive(Default)]
+pub(crate) struct Loaded {
+    pub(crate) keep: Option<Keep>,
+    pub(crate) list: Option<ListNews>,
+    pub(crate) knowledge: Option<Box<Message>>,
 }
 
-/// The last list, if one was kept and can be trusted.
-pub(crate) async fn load(settings: &FrontSettings) -> Option<ListNews> {
-    let path = settings.discovery.last_list.clone()?;
+/// Opens the store.
+pub(crate) async fn load(settings: &FrontSettings) -> Loaded {
+    let Some(path) = settings.keep.file.clone() else { return Loaded::default() };
     let cold = settings.rules.cold_ms.get();
-    let read = tokio::task::spawn_blocking(move || {
-        let text = std::fs::read_to_string(&path).ok()?;
-        match SavedList::read(&text) {
+    let read = spawn_blocking(move || {
+        let file = path.display().to_string();
+        let opened = match Keep::open(&path) {
+            Ok(opened) => opened,
+            Err(error) => {
+                tracing::warn!(file, %error, "nothing can be kept");
+                return Loaded::default();
+            }
+        };
+        if let Some(aside) = opened.set_aside {
+            tracing::warn!(file, aside = %aside.display(), "what was kept cannot be trusted; set aside");
+        }
+        let kept = opened.kept.unwrap_or_default();
+        let list = std::str::from_utf8(&kept.list).ok().filter(|t| !t.is_empty());
+        let list = list.and_then(|text| match SavedList::read(text) {
             Ok(saved) => Some(saved.news(cold)),
-            Err(e) => {
-                let aside = beside(&path, ".bad");
-                let moved = std::fs::rename(&path, &aside).is_ok();
-                tracing::warn!(file = %path.display(), error = e, moved, "last list set aside");
+            Err(error) => {
+                tracing::warn!(file, error, "the last list is not used");
                 None
             }
-        }
+        });
+        let knowledge = Message::decode(&kept.knowledge).ok().map(Box::new);
+        Loaded { keep: Some(opened.keep), list, knowledge }
     });
-    read.await.ok().flatten()
+    read.await.unwrap_or_default()
 }
 
-fn write(path: &Path, saved: &SavedList) -> std::io::Result<()> {
-    let new = beside(path, ".new");
-    let mut file = std::fs::File::create(&new)?;
-    file.write_all(serde_json::to_string(saved)?.as_bytes())?;
-    file.sync_all()?;
-    std::fs::rename(&new, path)
-}
-
-/// A task that keeps what it is handed; the last one is written at the stop too. Without a file it does
-/// nothing.
+/// A task that keeps the lists that it is handed, and the shelf's knowledge. Without a store it does nothing.
 pub(crate) fn spawn(
     tasks: &TaskTracker,
     settings: &FrontSettings,
+    keep: Option<Keep>,
+    shelf: Arc<Shelf>,
+    clock: Clock,
     stop: &CancellationToken,
 ) -> watch::Sender<Option<SavedList>> {
     let (tx, mut rx) = watch::channel(None);
-    let Some(path) = settings.discovery.last_list.clone() else { return tx };
-    let stop = stop.clone();
+    let Some(keep) = keep else { return tx };
+    let (stop, every) = (stop.clone(), settings.keep.knowledge_ms.get());
+    let keep = Arc::new(keep);
     tasks.spawn(async move {
+        let mut seq = 0;
         loop {
-            let changed = tokio::select! {
-                c = rx.changed() => c.is_ok(),
+            let going_on = tokio::select! {
+                changed = rx.changed() => changed.is_ok(),
+                () = tokio::time::sleep(every) => true,
                 () = stop.cancelled() => false,
             };
-            if rx.has_changed().unwrap_or(false) || changed {
-                let saved = rx.borrow_and_update().clone();
-                let path = path.clone();
-                let kept =
-                    tokio::task::spawn_blocking(move || saved.map_or(Ok(()), |s| write(&path, &s))).await;
-                // A full disk or a read-only folder costs the next start its copy, and nothing else.
-                if let Ok(Err(e)) = kept {
-                    tracing::warn!(error = %e, "last list not kept");
+            let new_list = rx.has_changed().unwrap_or(false);
+            let list = rx.borrow_and_update().clone();
+            let view = shelf.view();
+            if let Some(list) = list.filter(|_| new_list || view.seq() != seq) {
+                seq = view.seq();
+                let message = view.message(clock.now(), 0, None, Level::Cold, Vec::new());
+                let kept = Kept {
+                    list: serde_json::to_vec(&list).unwrap_or_default(),
+                    knowledge: message.encode().unwrap_or_default(),
+                };
+                let keep = keep.clone();
+                if let Ok(Err(error)) = spawn_blocking(move || keep.put(&kept)).await {
+                    tracing::warn!(%error, "list and knowledge not kept");
                 }
             }
-            if !changed {
+            if !going_on {
                 return;
             }
-            tokio::time::sleep(EVERY).await;
+            tokio::select! {
+                () = tokio::time::sleep(EVERY) => {}
+                () = stop.cancelled() => {}
+            }
         }
     });
     tx
--- a/crates/front/src/side.rs
+++ b/crates/front/src/side.rs
@@ -63,6 +63,14 @@
         std::mem::replace(&mut *lock(&self.level), (level, why)) != (level, why)
     }
 
+    /// Waits until the warm start has ended, one way or the other.
+    pub(crate) async fn not_warming(&self) {
+        // Looked at now and then: it is a wait of some hundred milliseconds, once.
+        while lock(&self.level).0 == Level::Warming {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Peers that are known from elsewhere.
     pub(crate) fn set_peers(&self, all: Vec<SocketAddr>) {
         let mut peers = lock(&self.peers);
@@ -179,10 +187,12 @@
             }
             let peers = lock(&state.peers).iter().copied().take(MOST_PEERS).collect();
             let level = lock(&state.level).0;
+            let begun = std::time::Instant::now();
             let message = shared.shelf.view().message(now, nonce, number(AFTER), level, peers);
             let Ok(bytes) = message.encode() else {
                 return say(conn, ResponseHead::new(500, 0), Bytes::new()).await;
             };
+            shared.stats.peer_fed_us.fetch_add(begun.elapsed().as_micros() as u64, Relaxed);
             (200, lock(&state.feeds).keep(now, bytes), 0)
         }
     };
--- a/crates/knowledge/src/warm.rs
+++ b/crates/knowledge/src/warm.rs
@@ -107,6 +107,9 @@
 /// were turned away together do not come back together.
 const SPREAD: f64 = 0.5;
 
+/// Questions for each warm answer that is wanted.
+const ASKS_EACH: usize = 4;
+
 /// The state of one warm start.
 #[derive(Debug)]
 pub struct Warmer {
@@ -117,6 +120,7 @@
     begun: Duration,
     first: Duration,
     last_asked: Duration,
+    asked: usize,
     warm: usize,
     cold: usize,
     level: Level,
@@ -142,6 +146,7 @@
             begun: now,
             first,
             last_asked: Duration::ZERO,
+            asked: 0,
             warm: 0,
             cold: 0,
             level: Level::Cold,
@@ -184,7 +189,7 @@
                 let end = self.begun + self.set.deadline;
                 let asked = self.peers.values().filter(|p| **p == Peer::Asked).count();
                 let free = self.peers.values().filter_map(|p| match p {
-                    Peer::Free(from) => Some(*from),
+                    Peer::Free(from) if self.left() > 0 => Some(*from),
                     _ => None,
                 });
                 let hedged =
@@ -195,6 +200,11 @@
         }
     }
 
+    /// Questions that it may still ask: where all peers are cold too, each asking all would be a storm.
+    fn left(&self) -> usize {
+        (ASKS_EACH * self.set.enough.max(1)).saturating_sub(self.asked)
+    }
+
     fn wanted(&self) -> usize {
         self.set.parallel.max(1)
     }
@@ -215,6 +225,7 @@
         let asked = self.peers.values().filter(|p| **p == Peer::Asked).count();
         let hedge = asked > 0 && now >= self.last_asked + self.set.hedge;
         let places = self.wanted().saturating_sub(asked).max(usize::from(hedge));
+        let places = places.min(self.left());
         let mut free: Vec<SocketAddr> = self
             .peers
             .iter()
@@ -225,6 +236,7 @@
         for peer in free.into_iter().take(places) {
             self.peers.insert(peer, Peer::Asked);
             self.last_asked = now;
+            self.asked += 1;
             out.push(Ask { peer, nonce: self.rng.u64(1..) });
         }
         self.settle();
@@ -259,7 +271,9 @@
         if self.level != Level::Warming {
             return;
         }
-        if self.warm >= self.set.enough.max(1) || self.peers.values().all(|p| *p == Peer::Done) {
+        let nobody_out = !self.peers.values().any(|p| *p == Peer::Asked);
+        let nobody_left = self.left() == 0 || self.peers.values().all(|p| *p == Peer::Done);
+        if self.warm >= self.set.enough.max(1) || (nobody_out && nobody_left) {
             self.end();
         }
     }
--- a/crates/knowledge/tests/warm.rs
+++ b/crates/knowledge/tests/warm.rs
@@ -148,3 +148,17 @@
     let tags: Vec<_> = (0..40).map(|_| f.keep(ms(1), vec![0; 10]).tag).collect();
     assert!(f.kept(ms(2), tags[0]).is_none() && f.kept(ms(2), tags[39]).is_some());
 }
+
+#[test]
+fn a_whole_fleet_that_is_cold_asks_a_bounded_number_of_questions() {
+    let mut w = warmer(6, 300);
+    let mut asked = 0;
+    for t in (300..2500).map(ms) {
+        for ask in w.due(t) {
+            asked += 1;
+            w.answered(ask.peer, Level::Warming);
+        }
+    }
+    assert_eq!(asked, 8, "four for each answer wanted");
+    assert_eq!(w.level(), (Level::Cold, Why::PeersCold));
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,7 +2,8 @@
 //! are checked from what passed.
 
 use crate::exchange::{Exchange, Log};
-use crate::fronts::{FrontCommand, FrontError, Fronts};
+use crate::fleet::{peer_cost, PeerCost};
+use crate::fronts::{FrontCommand, FrontError, Fronts, StartMode};
 use crate::plan;
 use crate::policies::PolicyName;
 use crate::rules::{self, Verdict};
@@ -36,6 +37,8 @@
     pub dir: PathBuf,
     /// Whether the fronts record each step.
     pub record: bool,
+    /// What fronts know that come back.
+    pub mode: StartMode,
 }
 
 /// Why a day could not be played.
@@ -71,6 +74,11 @@
     pub rules: Vec<Verdict>,
     /// Servers that fell over, by whoever's doing.
     pub toppled: usize,
+    /// When the day began on the exchanges' clock.
+    #[serde(skip)]
+    pub start: Duration,
+    /// What the exchange of knowledge cost.
+    pub cost: PeerCost,
     /// All that passed.
     #[serde(skip)]
     pub exchanges: Vec<Exchange>,
@@ -91,9 +99,9 @@
     let script = &day.script;
     let dir = |source| DayError::Dir { dir: options.dir.display().to_string(), source };
     std::fs::create_dir_all(&options.dir).map_err(dir)?;
-    // Last lists of another day would be lies.
+    // What was kept of another day would be lies.
     for front in 0..script.fronts.count() {
-        let _ = std::fs::remove_file(options.dir.join(format!("front-{front}.list")));
+        let _ = std::fs::remove_file(options.dir.join(format!("front-{front}.keep")));
     }
     let fleet = plan::fleet(script);
     let viewers = plan::viewers(script, &fleet);
@@ -119,6 +127,7 @@
         fronts: script.fronts.count(),
         seed: script.seed.get(),
         record: options.record,
+        mode: options.mode,
     };
     let fronts = Arc::new(Fronts::new(command, log.clone()));
     for front in 0..fronts.count() {
@@ -127,6 +136,7 @@
     // The fronts have their first list before the first viewer comes.
     sleep(Duration::from_millis(200)).await;
 
+    discovery.set_first_after(script.first_list_ms.get());
     let start = log.now();
     let shifted = shift(script, start);
     let mut tasks = JoinSet::new();
@@ -153,6 +163,7 @@
         timeout(end.saturating_sub(log.now()) + END, async { while watching.join_next().await.is_some() {} })
             .await;
     drop(watching);
+    let cost = peer_cost(&fronts).await;
     fronts.stop().await;
     drop(tasks);
     let exchanges = log.take();
@@ -166,6 +177,8 @@
         viewers: count,
         score: audience.tally.score(),
         toppled: rules::toppled(&exchanges),
+        start,
+        cost,
         rules,
         exchanges,
     })
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`model`]: servers, links and racks without I/O; [`standin`]: the same over sockets, with discovery.
 //! - [`script`]: a day as a file of YAML; [`viewer`]: the viewers, drawn from the day's seed.
 //! - [`day`]: plays a script against fronts that are processes of their own, and kills them where it says.
+//! - [`fleet`]: the same day with fronts that come back cold, with their last list, and warm.
 //! - [`exchange`]: what passed over the sockets; [`rules`]: the six rules checked from that alone;
 //!   [`score`]: worth served over worth asked.
 //! - [`bench`]: measures of a front as a process.
@@ -11,6 +12,7 @@
 pub mod bench;
 pub mod day;
 pub mod exchange;
+pub mod fleet;
 pub mod fronts;
 pub mod model;
 pub mod plan;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,8 @@
 use cloverhollow_cli::{serve, Logs, Serve, ServeError};
 use cloverhollow_lab::bench::{hints, Bench};
 use cloverhollow_lab::day::{play, DayError, Options};
+use cloverhollow_lab::fleet;
+use cloverhollow_lab::fronts::StartMode;
 use cloverhollow_lab::policies::PolicyName;
 use cloverhollow_lab::report;
 use cloverhollow_lab::script::Day;
@@ -47,6 +49,26 @@
         #[command(flatten)]
         logs: Logs,
     },
+    /// Plays a day of a fleet three times, with fronts that come back cold, with their last list, and warm;
+    /// exits 0 only if every rule was kept, no server fell and nothing went to one that drains.
+    Fleet {
+        /// The script (YAML): it restarts fronts by `balancer_crash`.
+        script: PathBuf,
+        /// Another seed than the script's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Prints the outcome as JSON.
+        #[arg(long)]
+        json: bool,
+        /// Writes the course of all three as a plot.
+        #[arg(long)]
+        svg: Option<PathBuf>,
+        /// Folder for the fronts' files. Default: a new one among temporary files.
+        #[arg(long)]
+        dir: Option<PathBuf>,
+        #[command(flatten)]
+        logs: Logs,
+    },
     /// Measures a front on this machine: hints, added latency, objects and set-ups a second, memory a session.
     Bench {
         /// Seconds of each measurement.
@@ -115,6 +137,24 @@
             runtime.block_on(serve(&it, |settings, seed| policy.make(settings, seed)))?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Fleet { script, seed, json, svg, dir, logs } => {
+            logs.start();
+            let mut day = Day::load(&script)?;
+            day.script.seed = seed.map_or(day.script.seed, Into::into);
+            let dir = dir.unwrap_or_else(|| {
+                std::env::temp_dir().join(format!("cloverhollow-fleet-{}", std::process::id()))
+            });
+            let outcome = runtime.block_on(fleet::compare(&day, &std::env::current_exe()?, &dir))?;
+            if let Some(path) = svg {
+                std::fs::write(path, outcome.svg().map_err(std::io::Error::other)?)?;
+            }
+            if json {
+                println!("{}", serde_json::to_string_pretty(&outcome).unwrap_or_default());
+            } else {
+                print!("{}", outcome.text());
+            }
+            Ok(if outcome.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Command::Bench { seconds, sessions, rate } => {
             runtime.block_on(measure(Duration::from_secs(seconds), sessions, rate))?;
             Ok(ExitCode::SUCCESS)
@@ -128,7 +168,8 @@
             let dir = dir.unwrap_or_else(|| {
                 std::env::temp_dir().join(format!("cloverhollow-day-{}", std::process::id()))
             });
-            let options = Options { exe: std::env::current_exe()?, policy, dir, record };
+            let options =
+                Options { exe: std::env::current_exe()?, policy, dir, record, mode: StartMode::LastList };
             let outcome = runtime.block_on(play(&day, &options))?;
             if let Some(path) = exchanges {
                 write_lines(&path, &outcome.exchanges)?;
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -21,6 +21,9 @@
     pub fronts: Num<1, 1_000>,
     /// Time that a list change takes to be noticed, at least and at most.
     pub notice_ms: (Ms<0, 60_000>, Ms<0, 60_000>),
+    /// A front that subscribes during the day hears its first list so late; 0 to a minute. Default 0.
+    #[serde(default)]
+    pub first_list_ms: Ms<0, 60_000>,
     /// The servers as they truly are.
     pub fleet: TrueFleet,
     /// The viewers.
--- a/crates/lab/src/standin/discovery.rs
+++ b/crates/lab/src/standin/discovery.rs
@@ -49,6 +49,8 @@
     state: Mutex<State>,
     patches: broadcast::Sender<Patch>,
     up: watch::Sender<bool>,
+    /// A new subscriber's first list comes so late.
+    first_after: Mutex<Duration>,
     log: Arc<Log>,
 }
 
@@ -64,6 +66,7 @@
             state: Mutex::new(State { version: 1, servers: BTreeMap::new(), skip: 0 }),
             patches: broadcast::channel(MOST_BEHIND).0,
             up: watch::channel(true).0,
+            first_after: Mutex::new(Duration::ZERO),
             log,
         });
         tokio::spawn(d.clone().run(listener));
@@ -93,6 +96,11 @@
         self.state().servers.get(&server).map(|l| l.entry.clone())
     }
 
+    /// From now on a new subscriber's first list comes so late.
+    pub fn set_first_after(&self, late: Duration) {
+        *self.first_after.lock().unwrap_or_else(PoisonError::into_inner) = late;
+    }
+
     /// Leaves out the next patches.
     pub fn skip(&self, patches: u32) {
         self.state().skip = patches;
@@ -139,6 +147,14 @@
         if conn.feed(ResponseFrame::Head(out)).await.is_err() {
             return;
         }
+        let late = *self.first_after.lock().unwrap_or_else(PoisonError::into_inner);
+        if !late.is_zero() {
+            let begun = conn.send(ResponseFrame::Data(Bytes::from_static(b": wait\n\n"))).await;
+            if begun.is_err() {
+                return;
+            }
+            tokio::time::sleep(late).await;
+        }
         // Subscribed before the whole list is taken: nothing falls between.
         let mut patches = self.patches.subscribe();
         let (mut version, whole) = {
--- a/crates/session/src/stats.rs
+++ b/crates/session/src/stats.rs
@@ -22,6 +22,7 @@
     pub peer_bytes: AtomicU64,
     pub peer_fed: AtomicU64,
     pub peer_fed_bytes: AtomicU64,
+    pub peer_fed_us: AtomicU64,
     pub refused: [AtomicU64; Reason::ALL.len()],
     pub failed: [AtomicU64; Reason::ALL.len()],
     pub over: [AtomicU64; 5],
@@ -69,6 +70,7 @@
             ("peer_bytes", &self.peer_bytes),
             ("peer_fed", &self.peer_fed),
             ("peer_fed_bytes", &self.peer_fed_bytes),
+            ("peer_fed_us", &self.peer_fed_us),
         ] {
             line(name, "", n);
         }
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -22,6 +22,8 @@
     pub side: Side,
     /// Where the server list comes from.
     pub discovery: Discovery,
+    /// What this front keeps over a stop.
+    pub keep: Keep,
     /// What this front asks of and tells its peers.
     pub peers: Peers,
     /// How this front talks to servers.
@@ -126,8 +128,6 @@
     pub address: SocketAddr,
     /// Path of its event stream. Default `/v1/servers`.
     pub path: String,
-    /// File for the last list, replaced atomically; absent: none is kept. Default none.
-    pub last_list: Option<PathBuf>,
     /// A stream without a line for so long is broken; 100 ms to an hour. Default 15 s.
     pub silent_ms: Ms<100, HOUR>,
     /// First wait before the stream is asked for again, doubled up to the next; 10 ms to a minute. Default 200 ms.
@@ -141,7 +141,6 @@
         Discovery {
             address: ([127, 0, 0, 1], 9000).into(),
             path: "/v1/servers".into(),
-            last_list: None,
             silent_ms: Ms::of(15_000),
             again_ms: Ms::of(200),
             again_most_ms: Ms::of(5_000),
@@ -149,6 +148,22 @@
     }
 }
 
+/// What this front keeps over a stop: its last list and its knowledge.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Keep {
+    /// The file, an embedded store of this front alone; absent: nothing is kept. Default none.
+    pub file: Option<PathBuf>,
+    /// A new list is kept at once; knowledge that changed, so often; 100 ms to an hour. Default 5 s.
+    pub knowledge_ms: Ms<100, HOUR>,
+}
+
+impl Default for Keep {
+    fn default() -> Self {
+        Keep { file: None, knowledge_ms: Ms::of(5_000) }
+    }
+}
+
 /// What this front asks of and tells its peers, at their side addresses.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -167,6 +182,8 @@
     pub deadline_ms: Ms<10, MINUTE>,
     /// The first question waits for up to this, by chance; 0 to a minute. Default 200 ms.
     pub jitter_ms: Ms<0, MINUTE>,
+    /// Viewers are taken on once the warm start has ended, or after this; 0 to a minute. Default 500 ms.
+    pub hold_ms: Ms<0, MINUTE>,
     /// What is older says nothing any more; 1 s to 10 minutes. Default 30 s.
     pub horizon_ms: Ms<1_000, 600_000>,
     /// Later, one peer is asked for what changed so often; 0: never; 0 to an hour. Default 2 s.
@@ -187,6 +204,7 @@
             hedge_ms: Ms::of(150),
             deadline_ms: Ms::of(3_000),
             jitter_ms: Ms::of(200),
+            hold_ms: Ms::of(500),
             horizon_ms: Ms::of(30_000),
             every_ms: Ms::of(2_000),
             feeds: Num::of(4),
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,144 @@
+//! What a front keeps over a stop: its last list and its knowledge, in one file of an embedded store (`redb`).
+//!
+//! Both are written in one transaction, synced to the disk before [`Keep::put`] returns
+//! (`Durability::Immediate`): a crash leaves the last pair that was written, or the one before. Each value
+//! carries a CRC-32 of its own. A file that cannot be opened or whose values do not check is set aside under
+//! `.bad` and never trusted; the start goes on without.
+//!
+//! What the bytes mean is the callers': this crate knows neither list nor knowledge.
+
+use redb::{Database, Durability, ReadableDatabase, TableDefinition};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::{Path, PathBuf};
+
+const LAST: TableDefinition<&str, &[u8]> = TableDefinition::new("last");
+const LIST: &str = "list";
+const KNOWLEDGE: &str = "knowledge";
+/// Longest value, bytes.
+pub const MOST_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why nothing could be kept.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The store's own error: the disk is full, the folder read-only, the file in use.
+    #[error("{0}")]
+    Store(String),
+    /// A value over [`MOST_BYTES`].
+    #[error("a value over {MOST_BYTES} bytes")]
+    TooLong,
+}
+
+fn store(e: impl std::fmt::Display) -> StoreError {
+    StoreError::Store(e.to_string())
+}
+
+/// What was kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// The last list.
+    pub list: Vec<u8>,
+    /// The knowledge.
+    pub knowledge: Vec<u8>,
+}
+
+/// An open store.
+#[derive(Debug)]
+pub struct Keep {
+    db: Database,
+}
+
+/// A store as it was found.
+#[derive(Debug)]
+pub struct Opened {
+    /// The store.
+    pub keep: Keep,
+    /// What it held.
+    pub kept: Option<Kept>,
+    /// Where a file that could not be trusted was put.
+    pub set_aside: Option<PathBuf>,
+}
+
+impl Keep {
+    /// Opens a store, or makes a new one where there is none or it cannot be trusted.
+    ///
+    /// # Errors
+    /// No store can be made there.
+    pub fn open(path: &Path) -> Result<Opened, StoreError> {
+        if let Ok((keep, kept)) = Keep::trusted(path) {
+            return Ok(Opened { keep, kept, set_aside: None });
+        }
+        let aside = path.exists().then(|| {
+            let mut name = path.file_name().unwrap_or_default().to_os_string();
+            name.push(".bad");
+            path.with_file_name(name)
+        });
+        if let Some(aside) = &aside {
+            std::fs::rename(path, aside).map_err(store)?;
+        }
+        let (keep, kept) = Keep::trusted(path)?;
+        Ok(Opened { keep, kept, set_aside: aside })
+    }
+
+    /// Opens and reads; a file that is broken in a way that the store does not expect is an error too, and
+    /// not the end of the process.
+    fn trusted(path: &Path) -> Result<(Keep, Option<Kept>), StoreError> {
+        let opened = catch_unwind(AssertUnwindSafe(|| {
+            let mut db = Database::create(path).map_err(store)?;
+            // Pages that no value lies on may be broken too: the next write would find it out.
+            if !db.check_integrity().map_err(store)? {
+                return Err(StoreError::Store("it was not whole".into()));
+            }
+            let keep = Keep { db };
+            let kept = keep.get()?;
+            if let Some(kept) = &kept {
+                keep.put(kept)?;
+            }
+            Ok((keep, kept))
+        }));
+        opened.unwrap_or_else(|_| Err(StoreError::Store("broken beyond reading".into())))
+    }
+
+    fn get(&self) -> Result<Option<Kept>, StoreError> {
+        let read = self.db.begin_read().map_err(store)?;
+        let table = match read.open_table(LAST) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(e) => return Err(store(e)),
+        };
+        let one = |key: &str| -> Result<Option<Vec<u8>>, StoreError> {
+            let Some(value) = table.get(key).map_err(store)? else { return Ok(None) };
+            let checked = value.value().split_first_chunk::<4>().and_then(|(crc, body)| {
+                (u32::from_le_bytes(*crc) == crc32fast::hash(body)).then(|| body.to_vec())
+            });
+            checked.map(Some).ok_or_else(|| StoreError::Store(format!("{key}: its checksum does not fit")))
+        };
+        let (Some(list), Some(knowledge)) = (one(LIST)?, one(KNOWLEDGE)?) else { return Ok(None) };
+        Ok(Some(Kept { list, knowledge }))
+    }
+
+    /// Keeps both, or neither. Blocks until they are on the disk.
+    ///
+    /// # Errors
+    /// They are not kept; what was kept before still is.
+    pub fn put(&self, kept: &Kept) -> Result<(), StoreError> {
+        if kept.list.len().max(kept.knowledge.len()) > MOST_BYTES {
+            return Err(StoreError::TooLong);
+        }
+        let put = catch_unwind(AssertUnwindSafe(|| self.write(kept)));
+        put.unwrap_or_else(|_| Err(StoreError::Store("broken beyond writing".into())))
+    }
+
+    fn write(&self, kept: &Kept) -> Result<(), StoreError> {
+        let mut write = self.db.begin_write().map_err(store)?;
+        write.set_durability(Durability::Immediate).map_err(store)?;
+        {
+            let mut table = write.open_table(LAST).map_err(store)?;
+            for (key, body) in [(LIST, &kept.list), (KNOWLEDGE, &kept.knowledge)] {
+                let mut value = crc32fast::hash(body).to_le_bytes().to_vec();
+                value.extend_from_slice(body);
+                table.insert(key, value.as_slice()).map_err(store)?;
+            }
+        }
+        write.commit().map_err(store)
+    }
+}
