--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -164,10 +164,11 @@
 /// A front with these settings on top of the tests' own.
 pub async fn front(discovery: SocketAddr, more: &str) -> Setup {
     let text = format!(
-        "instance: {{seed: 3}}\ndiscovery: {{address: \"{discovery}\"}}\nside: {{address: \"127.0.0.1:0\"}}\n\
+        "discovery: {{address: \"{discovery}\"}}\nside: {{address: \"127.0.0.1:0\"}}\n\
          classes:\n- {{name: paid, aim_ms: 1000, deadline_ms: 2000, paid: true}}\n\
          - {{name: clip, aim_ms: 1000, deadline_ms: 2000}}\nfleet: {{link_unit_kb: 1000000}}\n{more}\n"
     );
+    let text = if more.contains("instance:") { text } else { text + "instance: {seed: 3}\n" };
     // `listen` comes from the test, with a port from the system unless it says otherwise.
     let text = if more.contains("listen:") { text } else { text + "listen: {address: \"127.0.0.1:0\"}\n" };
     let settings = Arc::new(FrontSettings::parse("test.yaml", &text).unwrap());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -60,7 +60,10 @@
         let what = text.lines().next().unwrap_or_default();
         let what = what.strip_prefix("error: ").unwrap_or(what);
         let what = what.split_once(" at line ").map_or(what, |(w, _)| w).trim_end();
-        let field = if field.is_empty() || field == "." { "file".into() } else { field.clone() };
+        // What programmers could do about it is no help to operators.
+        let what = what.split(", set DuplicateKeyPolicy").next().unwrap_or(what);
+        let field =
+            if field.is_empty() || field == "." || field == "?" { "file".into() } else { field.clone() };
         SettingsError::Field { file: file.into(), line, field, what: what.into() }
     })
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -39,6 +39,7 @@
         ("ladder: []\n", "ladder: 0 rungs are not in 1..=64"),
         ("classes: []\n", "classes: 0 classes are not in 1..=64"),
         ("listen: [\n", "a.yaml:"),
+        ("side: {}\nside: {}\n", "a.yaml:2: file: duplicate mapping key: side"),
     ];
     for (text, want) in cases {
         let said = fault(text);
