--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,4 +1,5 @@
-//! The same day of a fleet three times: fronts that come back cold, with their last list, and warm.
+//! The same day of a fleet four times: undisturbed, and with fronts that die and come back cold, with their
+//! last list, and warm.
 
 use crate::day::{play, DayError, Options, Outcome};
 use crate::exchange::{Exchange, Got, Seen};
@@ -21,9 +22,7 @@
 
 /// Served worth is looked at over so many seconds at a time.
 const SMOOTH: usize = 3;
-/// What it was before is its mean over so many seconds before the restart.
-const BEFORE: usize = 8;
-/// Back is within this of what it was before.
+/// Back is within this of the same day on which no front dies: servers drain and links are short on both.
 const BACK: f64 = 0.95;
 /// After the fronts are back, refusals and wrong set-ups are counted for so long.
 const MEANWHILE: Duration = Duration::from_secs(10);
@@ -74,12 +73,12 @@
 pub struct Return {
     /// What the fronts knew.
     pub mode: StartMode,
-    /// Served part of the worth asked before the restart.
-    pub before: f64,
-    /// The lowest, and seconds from the fronts' return until it was back within 5%; `None`: not that day.
+    /// The lowest served part, as a part of the undisturbed day's at that second.
     pub lowest: f64,
-    /// See `lowest`.
+    /// Seconds from the fronts' return until it was back within 5% of the undisturbed day; `None`: not that day.
     pub back_after_s: Option<f64>,
+    /// Worth lost against the undisturbed day, in seconds of its mean worth.
+    pub lost_s: f64,
     /// Calls refused within 10 s of the return.
     pub refused: usize,
     /// Set-ups within 10 s of the return at servers that a list had told to be draining or gone.
@@ -112,6 +111,10 @@
     pub fronts: usize,
     /// How many fronts were restarted.
     pub restarted: usize,
+    /// Worth served over worth asked on the undisturbed day.
+    pub undisturbed: f64,
+    /// Its served part by second, smoothed.
+    pub reference: Vec<f64>,
     /// Cold, last list, warm.
     pub modes: Vec<Return>,
 }
@@ -123,10 +126,19 @@
 pub async fn compare(day: &Day, exe: &Path, dir: &Path) -> Result<Comparison, DayError> {
     let mut modes = Vec::new();
     let mut restarted = 0;
+    let mut calm = day.clone();
+    calm.script.troubles.retain(|t| t.kind != Kind::BalancerCrash);
+    let options = |mode: StartMode, name: &str| Options {
+        exe: exe.into(),
+        policy: PolicyName::Brain,
+        dir: dir.join(name),
+        record: false,
+        mode,
+    };
+    let undisturbed = play(&calm, &options(StartMode::LastList, "undisturbed")).await?;
+    let reference = smooth(&undisturbed.score.seconds);
     for mode in StartMode::ALL {
-        let dir = dir.join(mode.words().replace(' ', "-"));
-        let options = Options { exe: exe.into(), policy: PolicyName::Brain, dir, record: false, mode };
-        let outcome = play(day, &options).await?;
+        let outcome = play(day, &options(mode, &mode.words().replace(' ', "-"))).await?;
         let down: BTreeSet<usize> = outcome
             .exchanges
             .iter()
@@ -136,7 +148,7 @@
             })
             .collect();
         restarted = down.len();
-        modes.push(judge(mode, &day.script, outcome));
+        modes.push(judge(mode, &day.script, outcome, &reference, &undisturbed.score.seconds));
     }
     let s = &day.script;
     Ok(Comparison {
@@ -145,6 +157,8 @@
         servers: s.fleet.servers.count(),
         fronts: s.fronts.count(),
         restarted,
+        undisturbed: undisturbed.score.served,
+        reference,
         modes,
     })
 }
@@ -160,25 +174,27 @@
     (0..seconds.len()).map(window).collect()
 }
 
-fn judge(mode: StartMode, script: &Script, o: Outcome) -> Return {
+fn judge(mode: StartMode, script: &Script, o: Outcome, reference: &[f64], calm: &[Worth]) -> Return {
     let crash = script.troubles.iter().find(|t| t.kind == Kind::BalancerCrash);
     let (at, back) =
         crash.map_or((Duration::ZERO, Duration::ZERO), |t| (t.at_ms.get(), t.at_ms.get() + t.for_ms.get()));
     let course = smooth(&o.score.seconds);
-    let (from, down, up) = (at.as_secs() as usize, at.as_secs() as usize, back.as_secs() as usize);
-    let mean = |part: &[f64]| part.iter().sum::<f64>() / part.len().max(1) as f64;
-    let before = mean(course.get(from.saturating_sub(BEFORE)..from).unwrap_or_default());
-    let last = (script.length_ms.get().as_secs() as usize).min(course.len());
-    let after = course.get(down..last).unwrap_or_default();
-    let recovered = (up..last).find(|i| course[*i] >= BACK * before);
+    let (down, up) = (at.as_secs() as usize, back.as_secs() as usize);
+    // The last second is cut by the day's end.
+    let last = (script.length_ms.get().as_secs() as usize).min(course.len()).min(reference.len());
+    let part = |i: usize| if reference[i] > 0.0 { course[i] / reference[i] } else { 1.0 };
+    // Back is for good: for as long as the window that is looked at.
+    let recovered = (up..last).find(|i| (*i..(*i + SMOOTH).min(last)).all(|i| part(i) >= BACK));
+    let sum = |all: &[Worth]| all.iter().map(|w| w.served).sum::<f64>();
+    let mean = sum(calm) / calm.len().max(1) as f64;
     let span = o.start + back..o.start + back + MEANWHILE;
     let refused = o.exchanges.iter().filter(|e| span.contains(&e.at) && is_refusal(&e.seen)).count();
     let counts = misplaced(&o.exchanges, script, o.start + back, &span);
     Return {
         mode,
-        before,
-        lowest: after.iter().copied().fold(1.0, f64::min),
+        lowest: (down..last).map(part).fold(1.0, f64::min),
         back_after_s: recovered.map(|i| (i + 1) as f64 - back.as_secs_f64()),
+        lost_s: (sum(calm) - sum(&o.score.seconds)) / mean.max(1e-9),
         refused,
         wrong: counts.wrong,
         to_draining: counts.to_draining,
@@ -252,16 +268,17 @@
             "{} (seed {}): {} servers, {} fronts, {} of them restarted",
             self.day, self.seed, self.servers, self.fronts, self.restarted
         );
-        let _ = writeln!(w, "start      before  lowest  back after  refused  wrong  to draining  fallen  served  asked  bytes fed  CPU fed");
+        let _ = writeln!(w, "start      lowest  back after  lost  refused  wrong  to draining  fallen  served  asked  bytes fed  CPU fed");
+        let _ = writeln!(w, "undisturbed{:>66.3}", self.undisturbed);
         for m in &self.modes {
             let back = m.back_after_s.map_or("not".into(), |s| format!("{s:.1} s"));
             let cpu = if m.cost.cpu_s > 0.0 { 100.0 * m.cost.feeding_cpu_s / m.cost.cpu_s } else { 0.0 };
             let _ = writeln!(
                 w,
-                "{:10} {:6.3}  {:6.3}  {back:>10}  {:7}  {:5}  {:11}  {:6}  {:6.3}  {:5}  {:9}  {cpu:6.2}%",
+                "{:10} {:6.3}  {back:>10}  {:4.1}  {:7}  {:5}  {:11}  {:6}  {:6.3}  {:5}  {:9}  {cpu:6.2}%",
                 m.mode.words(),
-                m.before,
                 m.lowest,
+                m.lost_s,
                 m.refused,
                 m.wrong,
                 m.to_draining,
@@ -311,11 +328,13 @@
             .y_label_area_size(44)
             .build_cartesian_2d(0f64..seconds as f64, 0f64..1f64)?;
         chart.configure_mesh().x_desc("second of the day").draw()?;
-        for (m, colour) in self.modes.iter().zip([RED, BLUE, GREEN]) {
-            let line = m.course.iter().enumerate().map(|(i, y)| ((i + 1) as f64, *y));
+        let calm = [("undisturbed", &self.reference)];
+        let courses = calm.into_iter().chain(self.modes.iter().map(|m| (m.mode.words(), &m.course)));
+        for ((name, course), colour) in courses.zip([BLACK, RED, BLUE, GREEN]) {
+            let line = course.iter().enumerate().map(|(i, y)| ((i + 1) as f64, *y));
             chart
                 .draw_series(LineSeries::new(line, colour.stroke_width(2)))?
-                .label(m.mode.words())
+                .label(name)
                 .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour));
         }
         chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -49,7 +49,8 @@
         #[command(flatten)]
         logs: Logs,
     },
-    /// Plays a day of a fleet three times, with fronts that come back cold, with their last list, and warm;
+    /// Plays a day of a fleet four times: undisturbed, and with fronts that come back cold, with their last
+    /// list, and warm;
     /// exits 0 only if every rule was kept, no server fell and nothing went to one that drains.
     Fleet {
         /// The script (YAML): it restarts fronts by `balancer_crash`.
@@ -60,7 +61,7 @@
         /// Prints the outcome as JSON.
         #[arg(long)]
         json: bool,
-        /// Writes the course of all three as a plot.
+        /// Writes the course of all four as a plot.
         #[arg(long)]
         svg: Option<PathBuf>,
         /// Folder for the fronts' files. Default: a new one among temporary files.
