--- a/crates/lab/src/model/fleet.rs
+++ b/crates/lab/src/model/fleet.rs
@@ -31,18 +31,18 @@
         (server.facts.cell % self.racks.len().max(1) as u64) as usize
     }
 
-    fn rack_load(&self, rack: usize) -> f64 {
+    fn rack_load(&self, now: Duration, rack: usize) -> f64 {
         let Some(r) = self.racks.get(rack) else { return 0.0 };
         let there = self.servers.values().filter(|s| self.rack_of(s) == rack);
-        there.map(Server::asked).sum::<f64>() / (r.uplink_kb * r.factor).max(1e-6)
+        there.map(|s| s.asked(now)).sum::<f64>() / (r.uplink_kb * r.factor).max(1e-6)
     }
 
     /// A server's load now.
     pub fn load(&self, now: Duration, id: u64) -> LoadTold {
         let Some(s) = self.servers.get(&id) else { return LoadTold::default() };
         LoadTold {
-            link: s.asked() / s.gives(now, &self.cold),
-            rack: self.rack_load(self.rack_of(s)),
+            link: s.asked(now) / s.gives(now, &self.cold),
+            rack: self.rack_load(now, self.rack_of(s)),
             streams: s.streams(),
         }
     }
@@ -132,6 +132,18 @@
         assert!(verdicts.iter().all(|v| *v == SetupVerdict::Runs), "{verdicts:?}");
     }
 
+    #[test]
+    fn a_session_that_nobody_fetches_asks_nothing_though_it_is_held() {
+        let mut f = fleet();
+        let now = Duration::from_secs(100);
+        f.servers.get_mut(&0).unwrap().active = Duration::from_secs(6);
+        f.set_up(now, 0, &"a".into(), 800.0);
+        let later = now + Duration::from_secs(6);
+        assert_eq!((f.load(later, 0).link, f.load(later, 0).streams), (0.0, 1));
+        assert!(f.servers.get_mut(&0).unwrap().object(later, "a", 800.0));
+        assert_eq!(f.load(later, 0).link, 0.8);
+    }
+
     #[test]
     fn old_reports_tell_old_loads() {
         let mut f = fleet();
--- a/crates/lab/src/model/server.rs
+++ b/crates/lab/src/model/server.rs
@@ -110,6 +110,8 @@
     pub ageing: f64,
     /// Set-ups turned away while this part of the link is asked; 0: never.
     pub full_from: f64,
+    /// A session that was not asked for so long asks nothing of the link, though it is held: nobody fetches.
+    pub active: Duration,
     /// It has fallen over and stays down.
     pub fallen: bool,
     sessions: BTreeMap<Arc<str>, Held>,
@@ -129,6 +131,7 @@
             taken: 0.0,
             ageing: 1.0,
             full_from: 0.0,
+            active: Duration::MAX,
             fallen: false,
             sessions: BTreeMap::new(),
             over: VecDeque::new(),
@@ -159,8 +162,9 @@
     }
 
     /// kB a second that its sessions ask.
-    pub fn asked(&self) -> f64 {
-        self.sessions.values().map(|h| h.rate_kb).sum()
+    pub fn asked(&self, now: Duration) -> f64 {
+        let active = self.sessions.values().filter(|h| now.saturating_sub(h.seen) < self.active);
+        active.map(|h| h.rate_kb).sum()
     }
 
     /// kB a second that its link gives now.
@@ -180,7 +184,7 @@
             return SetupVerdict::Over;
         }
         let again = self.sessions.contains_key(sid);
-        let full = self.full_from > 0.0 && self.asked() >= self.full_from * self.gives(now, cold);
+        let full = self.full_from > 0.0 && self.asked(now) >= self.full_from * self.gives(now, cold);
         if !again && (self.sessions.len() >= self.facts.streams || full) {
             return SetupVerdict::Full;
         }
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -98,6 +98,8 @@
         };
         let mut server = Server::new(facts);
         server.full_from = f.full_from.get();
+        // Sessions of a front that died are held until their idle time, but nobody fetches them.
+        server.active = script.viewers.object_ms.get() * 3;
         servers.insert(101 + i, server);
     }
     let uplink = |sum: f64, rng: &mut ChaCha8Rng| match told.fleet.racks.get() {
