--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -423,8 +423,9 @@
     }
 
     /// A peer's word on a server of the own list. Guards a front that came back against drains, starts and
-    /// failures that it slept through, and against taking the fleet for empty. It never makes it less careful;
-    /// its own list and what it sees itself take it back. May hurt: a peer that errs costs some seconds' rest.
+    /// failures that it slept through, and against taking the fleet for empty. It never makes it less
+    /// careful; its own list and what it sees itself take it back. May hurt: a peer that errs costs some
+    /// seconds' rest.
     fn heard(&mut self, h: &Heard) {
         let then = self.now.saturating_sub(h.age);
         let Some(s) = self.servers.get_mut(&h.server) else { return };
