Reread: no copy of headers on the object path, dead client code out

Cause: the relay copied each header's bytes of each object though they are shared slices; the desk made the list's copy for disk where no store listens; a response type and a socket accessor of the client had no user. Change: Headers::without shares the slices; the copy is made only where it is kept; the dead code is gone.

--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -132,7 +132,10 @@
             let listed = inputs.iter().any(|i| matches!(i, Input::List(_)));
             let commands = self.core.step(self.shared.clock.now(), inputs);
             if listed {
-                self.saver.send_replace(Some(self.core.saved_list()));
+                // Without a store nobody listens, and nothing is copied.
+                if !self.saver.is_closed() {
+                    self.saver.send_replace(Some(self.core.saved_list()));
+                }
                 self.state.set_list(self.core.list());
             }
             self.state.set_held(self.core.held());
--- a/crates/front/src/object.rs
+++ b/crates/front/src/object.rs
@@ -94,11 +94,7 @@
     let hop = upstream::own_hop(shared, route, begun.elapsed().as_millis() as u32);
     let mut out = ResponseHead { keep_alive: conn.keep_alive, ..ResponseHead::new(head.status, 0) };
     out.framing = head.framing;
-    for (name, value) in head.headers.iter() {
-        if !name.eq_ignore_ascii_case(cmsd::DYNAMIC.as_bytes()) {
-            out.headers.push(Bytes::copy_from_slice(name), Bytes::copy_from_slice(value));
-        }
-    }
+    out.headers = head.headers.without(cmsd::DYNAMIC);
     out.headers.push(cmsd::DYNAMIC, hop.append_to(&told.path));
     out.headers.push("via", shared.via.clone());
     let write = shared.settings.listen.write_ms.get();
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -15,6 +15,12 @@
         self.lines.push((name.into(), value.into()));
     }
 
+    /// All lines but those under that name. Copies no bytes.
+    pub fn without(&self, name: &str) -> Headers {
+        let others = self.lines.iter().filter(|(n, _)| !n.eq_ignore_ascii_case(name.as_bytes()));
+        Headers { lines: others.cloned().collect() }
+    }
+
     /// All lines.
     pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         self.lines.iter().map(|(n, v)| (&n[..], &v[..]))
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::{ClientSide, WireError};
 use bytes::Bytes;
-use cloverhollow_http::{Framing, Limits, Malformed, RequestFrame, RequestHead, ResponseFrame, ResponseHead};
+use cloverhollow_http::{Limits, Malformed, RequestFrame, RequestHead, ResponseFrame, ResponseHead};
 use futures_util::{SinkExt, StreamExt};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -16,15 +16,6 @@
     keep_alive: bool,
 }
 
-/// A response whose body is still to be read.
-#[derive(Debug)]
-pub struct Response {
-    /// Its head.
-    pub head: ResponseHead,
-    /// The connection it comes on.
-    pub conn: ClientConn,
-}
-
 /// Opens a connection. No time-out of its own: the caller sets one.
 ///
 /// # Errors
@@ -122,16 +113,4 @@
     pub fn is_reusable(&self) -> bool {
         self.keep_alive
     }
-
-    /// The socket.
-    pub fn stream(&self) -> &TcpStream {
-        self.framed.get_ref()
-    }
-}
-
-impl Response {
-    /// Whether its body ends by itself, without the connection's close.
-    pub fn is_framed(&self) -> bool {
-        self.head.framing != Framing::UntilClose
-    }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,7 @@
 mod events;
 mod serve;
 
-pub use client::{connect, ClientConn, Response};
+pub use client::{connect, ClientConn};
 pub use codec::{ClientSide, ServerSide, WireError};
 pub use events::{EventLines, MOST_EVENT_LINE};
 pub use serve::{answer, linger, read_body, wait_closed, ServerConn};
