Deeds are taken down before they are done: what a front's death forgot is known to its next life

Cause: a front killed with its ration spent, a paid set-up out, or a drain heard but not yet kept came back without any of it. Change: a thread takes deeds down in an append-only file beside keep.file before their first byte goes out (one write for all that wait; the disk too with keep.outlives: machine); the next life reads them and the module is told. What is gone, garbled, of another boot, or not the file that was written last (by its ctime) is not believed: spans count as spent, paid viewers fail for one deadline, the list is waited for. A second process of one front does not start; a front that dies again and again is closed for a while and says so. The clock goes on while the machine is suspended; what was decided before a stall is not sent after it.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,6 +4,7 @@
 //! takes: there is no instant at which both believe to have been first.
 
 use crate::desk::Mail;
+use crate::journal::Ticket;
 use crate::pool::LeaseError;
 use crate::upstream::{self, Ask, SetupAnswer};
 use crate::Shared;
@@ -46,19 +47,25 @@
 }
 
 /// Sends a set-up in a task of its own, which mails its end to the desk. No time-out here: the desk recalls.
-pub(crate) fn spawn(setup: Setup<Arc<Ask>>, shared: Arc<Shared>) -> Held {
+/// `ticket`: what must be taken down before its first byte may go out.
+pub(crate) fn spawn(setup: Setup<Arc<Ask>>, ticket: Ticket, shared: Arc<Shared>) -> Held {
     let gate = Arc::new(Gate::default());
     let own = gate.clone();
     let task = tokio::spawn(async move {
         // `None`: it was recalled, and the desk knows.
-        if let Some(input) = run(&setup, &shared, &own).await {
+        if let Some(input) = run(&setup, ticket, &shared, &own).await {
             let _ = shared.desk.send(Mail::of(input)).await;
         }
     });
     Held { gate, task: task.abort_handle() }
 }
 
-async fn run(setup: &Setup<Arc<Ask>>, shared: &Shared, gate: &Gate) -> Option<Input<Arc<Ask>, SetupAnswer>> {
+async fn run(
+    setup: &Setup<Arc<Ask>>,
+    ticket: Ticket,
+    shared: &Shared,
+    gate: &Gate,
+) -> Option<Input<Arc<Ask>, SetupAnswer>> {
     let attempt = setup.attempt;
     let ended = |end| Some(Input::AttemptEnded { attempt, end, load: Load::default() });
     // A connection of its own: on a used one, a close that is under way would leave it open whether the
@@ -67,6 +74,15 @@
         Ok(lease) => lease,
         Err(LeaseError::Busy | LeaseError::NotConnected(_)) => return ended(AttemptEnd::NotConnected),
     };
+    // Guards a front that is killed between the decision and the first byte: its next life knows (rules 2, 6).
+    if !ticket.granted().await {
+        return ended(AttemptEnd::NotKept);
+    }
+    // Guards one that stood still in between: what it decided by is old.
+    if shared.clock.now() > setup.until {
+        tracing::info!(session = %setup.sid, %attempt, server = setup.server, "decided too long ago, not sent");
+        return ended(AttemptEnd::NeverSent);
+    }
     if !gate.pass(SENDING) {
         return None;
     }
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -4,11 +4,13 @@
 //! steps, and hands commands to tasks of their own. Dropping it drops all attempts that are out.
 
 use crate::attempt::{self, Held};
+use crate::journal::Ticket;
 use crate::peers::Outcome;
 use crate::release::Releases;
 use crate::side::State;
 use crate::upstream::{Ask, SetupAnswer};
 use crate::Shared;
+use cloverhollow::ListMode;
 use cloverhollow_session::{
     Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, Policy, RecallWhy, SavedList,
     ViewerId,
@@ -130,6 +132,8 @@
     fn step(&mut self, mut inputs: Inputs) {
         loop {
             let listed = inputs.iter().any(|i| matches!(i, Input::List(_)));
+            let fresh = |i: &Input<_, _>| matches!(i, Input::List(n) if n.mode == ListMode::Whole);
+            let told = inputs.iter().any(fresh);
             let commands = self.core.step(self.shared.clock.now(), inputs);
             if listed {
                 // Without a store nobody listens, and nothing is copied.
@@ -137,6 +141,9 @@
                     self.saver.send_replace(Some(self.core.saved_list()));
                 }
                 self.state.set_list(self.core.list());
+                if told {
+                    self.state.set_told();
+                }
             }
             self.state.set_held(self.core.held());
             let mut next = Vec::new();
@@ -160,7 +167,12 @@
         match command {
             Command::Send(setup) => {
                 let attempt = setup.attempt;
-                self.held.insert(attempt, attempt::spawn(setup, self.shared.clone()));
+                let ticket = setup.deed.clone().map_or(Ticket::Free, |deed| self.shared.journal.ask(deed));
+                self.held.insert(attempt, attempt::spawn(setup, ticket, self.shared.clone()));
+                None
+            }
+            Command::Keep(deed) => {
+                self.shared.journal.tell(deed);
                 None
             }
             Command::Recall { attempt, why } => {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,8 @@
 mod clock;
 mod desk;
 mod discovery;
+mod journal;
+mod lives;
 mod object;
 mod peers;
 mod pool;
@@ -22,6 +24,8 @@
 
 pub use clock::Clock;
 
+use cloverhollow_hints::cmsd;
+use cloverhollow_recovery::Trust;
 use cloverhollow_session::{Core, Input, Policy, Routes, Shelf, Stats, Tap};
 use cloverhollow_settings::FrontSettings;
 use desk::Desk;
@@ -46,6 +50,7 @@
     pub(crate) stats: Arc<Stats>,
     pub(crate) shelf: Arc<Shelf>,
     pub(crate) pools: Pools,
+    pub(crate) journal: journal::Journal,
     pub(crate) desk: mpsc::Sender<desk::Mail>,
     pub(crate) via: String,
     next_viewer: AtomicU64,
@@ -71,6 +76,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// Another process of this front runs: two lives at once would each spend the whole of every budget.
+    #[error("keep.file: {0}")]
+    Twice(#[from] cloverhollow_store::PaperError),
 }
 
 /// A front that runs.
@@ -81,6 +89,7 @@
     pub side: Option<SocketAddr>,
     stop: CancellationToken,
     tasks: TaskTracker,
+    journal: journal::Journal,
 }
 
 impl Front {
@@ -93,6 +102,10 @@
         policy: P,
         tap: Option<Tap>,
     ) -> Result<Front, StartError> {
+        // First of all: a second process of this front must not so much as open the first one's store.
+        let found = lives::open(&settings).await?;
+        let loaded = save::load(&settings).await;
+        let lives = lives::read(&settings, found, loaded.was_there);
         let listener = bind("listen.address", settings.listen.address).await?;
         let side = match settings.side.address {
             Some(address) => Some(bind("side.address", address).await?),
@@ -113,6 +126,7 @@
             stats: core.stats(),
             shelf: core.shelf(),
             pools: Pools::new(&settings.servers),
+            journal: lives.journal,
             desk: mail,
             via: format!("1.1 {}", settings.instance.name.as_str()),
             next_viewer: AtomicU64::new(1),
@@ -123,7 +137,16 @@
         let (outcome, outcomes) = mpsc::channel(peers::MOST_OUTCOMES);
 
         // What was kept goes in before the first request can: the desk reads its mails in order.
-        let loaded = save::load(&settings).await;
+        let now = clock.now();
+        let proven = lives.recovered.trust;
+        state.set_before(proven.words(), lives.wait.deaths, now + lives.wait.hold);
+        if !lives.wait.hold.is_zero() {
+            let (deaths, hold_ms) = (lives.wait.deaths, lives.wait.hold.as_millis() as u64);
+            tracing::warn!(deaths, hold_ms, "died again and again: takes no viewers for a while");
+        }
+        if proven != Trust::First {
+            let _ = shared.desk.send(desk::Mail::of(Input::Recovered(Box::new(lives.recovered)))).await;
+        }
         if let Some(news) = loaded.list {
             let _ = shared.desk.send(desk::Mail::list(news)).await;
         }
@@ -145,12 +168,21 @@
         // Connections wait in the listener's queue meanwhile. Guards against the first moment of a front that
         // comes back: its last list may name servers that have drained since.
         let hold = settings.peers.hold_ms.get();
+        let gated = state.clone();
+        let journal = shared.journal.clone();
         tasks.spawn(until(stop.clone(), async move {
-            let _ = tokio::time::timeout(hold, state.not_warming()).await;
-            accept(listener, shared).await;
+            let wait = async {
+                state.not_warming().await;
+                // Drains that the last life heard may be lost: the list is waited for.
+                if matches!(proven, Trust::Unproven(_) | Trust::Rebooted) {
+                    state.told().await;
+                }
+            };
+            let _ = tokio::time::timeout(hold, wait).await;
+            accept(listener, shared, gated).await;
         }));
         tracing::info!(%address, name = settings.instance.name.as_str(), "front started");
-        Ok(Front { address, side: side_address, stop, tasks })
+        Ok(Front { address, side: side_address, stop, tasks, journal })
     }
 
     /// Stops at once: connections are closed, sessions forgotten, the last list is kept.
@@ -158,6 +190,8 @@
         self.stop.cancel();
         self.tasks.close();
         self.tasks.wait().await;
+        // Last of all: what no deed follows has ended in order.
+        self.journal.close().await;
     }
 }
 
@@ -177,7 +211,8 @@
 }
 
 /// Takes connections, `listen.connections` at a time; one past them gets 503 at once.
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+/// While the front is closed after deaths, each gets 503 with when to come back.
+async fn accept(listener: TcpListener, shared: Arc<Shared>, state: Arc<side::State>) {
     let room = Arc::new(Semaphore::new(shared.settings.listen.connections.count()));
     let turning = Arc::new(Semaphore::new(TURNED_AWAY));
     // Dropped with this future, and the connections' tasks with it.
@@ -196,8 +231,13 @@
             Some(_) = connections.join_next() => continue,
         };
         let _ = stream.set_nodelay(true);
+        let closed = state.closed_for(shared.clock.now());
+        let (after, reason) = match closed.is_zero() {
+            true => (Duration::from_secs(1), "front-full"),
+            false => (closed, "backing-off"),
+        };
         match room.clone().try_acquire_owned() {
-            Ok(permit) => {
+            Ok(permit) if closed.is_zero() => {
                 let shared = shared.clone();
                 connections.spawn(async move {
                     viewer::serve(stream, shared).await;
@@ -205,10 +245,11 @@
                 });
             }
             // Past that bound too, it is just closed.
-            Err(_) => {
+            _ => {
                 if let Ok(permit) = turning.clone().try_acquire_owned() {
+                    let name = shared.settings.instance.name.as_str().to_string();
                     connections.spawn(async move {
-                        turn_away(stream).await;
+                        turn_away(stream, &name, after, reason).await;
                         drop(permit);
                     });
                 }
@@ -220,11 +261,16 @@
 /// Most connections past the cap that are being told so at a time.
 const TURNED_AWAY: usize = 256;
 
-/// The shortest answer there is, to a connection past the cap.
-async fn turn_away(stream: TcpStream) {
-    const FULL: &[u8] =
-        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+/// The shortest answer there is, to a connection that is not served: no request of it is read.
+async fn turn_away(stream: TcpStream, name: &str, after: Duration, reason: &str) {
+    let hop = cmsd::Hop { name: name.into(), reason: Some(reason.into()), ..cmsd::Hop::default() };
+    let text = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {}\r\n{}: {}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        after.as_secs_f64().ceil(),
+        cmsd::DYNAMIC,
+        hop.write()
+    );
     // A new socket's send buffer holds this; where it does not, the peer is none to wait for.
-    let _ = stream.try_write(FULL);
+    let _ = stream.try_write(text.as_bytes());
     cloverhollow_net::linger(stream).await;
 }
--- a/crates/front/src/save.rs
+++ b/crates/front/src/save.rs
@@ -26,6 +26,8 @@
 #[derive(Default)]
 pub(crate) struct Loaded {
     pub(crate) keep: Option<Keep>,
+    /// The store was there already: this front ran before.
+    pub(crate) was_there: bool,
     pub(crate) list: Option<ListNews>,
     pub(crate) knowledge: Option<Box<Message>>,
 }
@@ -36,11 +38,12 @@
     let cold = settings.rules.cold_ms.get();
     let read = spawn_blocking(move || {
         let file = path.display().to_string();
+        let was_there = path.exists();
         let opened = match Keep::open(&path) {
             Ok(opened) => opened,
             Err(error) => {
                 tracing::warn!(file, %error, "nothing can be kept");
-                return Loaded::default();
+                return Loaded { was_there, ..Loaded::default() };
             }
         };
         if let Some(aside) = opened.set_aside {
@@ -56,7 +59,7 @@
             }
         });
         let knowledge = Message::decode(&kept.knowledge).ok().map(Box::new);
-        Loaded { keep: Some(opened.keep), list, knowledge }
+        Loaded { keep: Some(opened.keep), was_there, list, knowledge }
     });
     read.await.unwrap_or_default()
 }
--- a/crates/front/src/side.rs
+++ b/crates/front/src/side.rs
@@ -10,8 +10,8 @@
 use futures_util::StreamExt;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -28,6 +28,12 @@
     version: AtomicU64,
     serving: AtomicU64,
     held: AtomicU64,
+    /// Discovery has told a whole list since the start.
+    told: AtomicBool,
+    /// What is proven of earlier lives, and how often they died.
+    before: OnceLock<(String, usize)>,
+    /// Viewers are taken from then on, on the front's clock, ms.
+    open_ms: AtomicU64,
     level: Mutex<(Level, Why)>,
     peers: Mutex<BTreeSet<SocketAddr>>,
     feeds: Mutex<Feeds>,
@@ -43,6 +49,9 @@
             version: AtomicU64::new(0),
             serving: AtomicU64::new(0),
             held: AtomicU64::new(0),
+            told: AtomicBool::new(false),
+            before: OnceLock::new(),
+            open_ms: AtomicU64::new(0),
             level: Mutex::new((Level::Cold, Why::NotBegun)),
             peers: Mutex::new(settings.addresses.iter().copied().collect()),
             feeds: Mutex::new(Feeds::new(settings.feeds.count(), settings.hold_off_ms.get())),
@@ -58,6 +67,28 @@
         self.held.store(held as u64, Relaxed);
     }
 
+    pub(crate) fn set_told(&self) {
+        self.told.store(true, Relaxed);
+    }
+
+    /// Sets what is known of earlier lives, and when viewers are taken by it.
+    pub(crate) fn set_before(&self, proven: String, deaths: usize, open: Duration) {
+        let _ = self.before.set((proven, deaths));
+        self.open_ms.store(open.as_millis() as u64, Relaxed);
+    }
+
+    /// How long until viewers are taken.
+    pub(crate) fn closed_for(&self, now: Duration) -> Duration {
+        Duration::from_millis(self.open_ms.load(Relaxed)).saturating_sub(now)
+    }
+
+    /// Waits until discovery has told a whole list.
+    pub(crate) async fn told(&self) {
+        while !self.told.load(Relaxed) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Sets how warm the front is; whether that changed.
     pub(crate) fn set_level(&self, level: Level, why: Why) -> bool {
         std::mem::replace(&mut *lock(&self.level), (level, why)) != (level, why)
@@ -130,14 +161,28 @@
 
 fn health(shared: &Shared, state: &State) -> (u16, String) {
     let serving = state.serving.load(Relaxed);
-    let (level, why) = *lock(&state.level);
-    let ready = serving > 0;
+    let (level, level_why) = *lock(&state.level);
+    let closed = state.closed_for(shared.clock.now());
+    let (proven, deaths) = state.before.get().cloned().unwrap_or_default();
+    let failing = shared.journal.status.failing();
+    let why = if !closed.is_zero() {
+        format!("{deaths} deaths one after the other: closed for {} ms", closed.as_millis())
+    } else if let Some(error) = &failing {
+        format!("paid set-ups cannot be taken down: {error}")
+    } else if serving == 0 {
+        "no server takes new work".into()
+    } else {
+        "serving".into()
+    };
+    let ready = why == "serving";
     let body = serde_json::json!({
         "name": shared.settings.instance.name.as_str(),
         "ready": ready,
-        "why": if ready { "serving" } else { "no server takes new work" },
+        "why": why,
+        "before": proven,
+        "deaths": deaths,
         "level": level.word(),
-        "level_why": why.words(),
+        "level_why": level_why.words(),
         "knows_servers": shared.shelf.view().servers(),
         "list_version": state.version.load(Relaxed),
         "servers_serving": serving,
@@ -154,6 +199,10 @@
     {
         text.push_str(&format!("cloverhollow_{name} {}\n", n.load(Relaxed)));
     }
+    let status = &shared.journal.status;
+    for (name, n) in [("kept", &status.kept), ("refused", &status.refused), ("writes", &status.writes)] {
+        text.push_str(&format!("cloverhollow_deeds_{name}_total {}\n", n.load(Relaxed)));
+    }
     text.push_str(&format!("cloverhollow_level {}\n", lock(&state.level).0 as u8));
     text
 }
--- a/crates/recovery/src/recover.rs
+++ b/crates/recovery/src/recover.rs
@@ -52,8 +52,23 @@
     Proven,
     /// The machine was started anew since: what was not yet on the disk is lost with it.
     Rebooted,
-    /// Nothing is.
+    /// Nothing is: what should tell of them does not.
     Unproven(Why),
+    /// Nothing is ever kept: each life may be the first or not.
+    Unkept,
+}
+
+impl Trust {
+    /// In words, for operators.
+    pub fn words(&self) -> String {
+        match self {
+            Trust::First => "first life".into(),
+            Trust::Proven => "earlier lives are proven".into(),
+            Trust::Rebooted => "the machine was started anew".into(),
+            Trust::Unproven(why) => why.to_string(),
+            Trust::Unkept => "nothing is kept (keep.file)".into(),
+        }
+    }
 }
 
 /// What a start knows of the lives before it.
@@ -75,6 +90,26 @@
     pub held: Vec<Held>,
 }
 
+impl Recovered {
+    /// Of a front that keeps nothing.
+    pub fn unkept() -> Self {
+        Recovered {
+            trust: Trust::Unkept,
+            paid: Vec::new(),
+            further: Vec::new(),
+            known: Duration::ZERO,
+            ran: true,
+            stopped: BTreeSet::new(),
+            held: Vec::new(),
+        }
+    }
+
+    /// Whether paid sessions of the last life may be missing though they should be known.
+    pub fn paid_missing(&self) -> bool {
+        matches!(self.trust, Trust::Rebooted | Trust::Unproven(_))
+    }
+}
+
 /// Reads what is found. Gives the ledger to go on with, before this life's own [`Deed::Began`].
 pub fn recover(found: Found<'_>, boot: Boot, now: Stamp, bounds: &Bounds) -> (Ledger, Recovered) {
     let (ledger, trust) = match believe(found, boot, now, bounds) {
@@ -90,7 +125,7 @@
         known: match trust {
             Trust::First => Duration::MAX,
             Trust::Proven => ledger.known_from().map_or(Duration::MAX, age),
-            Trust::Rebooted | Trust::Unproven(_) => Duration::ZERO,
+            Trust::Rebooted | Trust::Unproven(_) | Trust::Unkept => Duration::ZERO,
         },
         ran: trust != Trust::First,
         stopped: ledger.stopped().clone(),
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -3,15 +3,17 @@
 use crate::arrival;
 use crate::gauge::Gauge;
 use crate::learn::{Learning, Shelf};
-use crate::list::{ListNews, SavedList, ServerList};
+use crate::list::{ListNews, SavedList, ServerList, WireState};
 use crate::policy::Policy;
 use crate::routes::{Route, Routes};
 use crate::spent::Spent;
 use crate::stats::{count, Stats};
 use crate::timers::{Due, Timers};
 use crate::types::*;
-use cloverhollow::{Action, Call, Event, ListMode, Note, Outcome, Report, RequestId, ServerId};
+use cloverhollow::{Action, Before, Call, Event, ListMode, Note, Outcome, Report, RequestId, ServerId};
 use cloverhollow_hints::{Contradiction, Contradictions};
+use cloverhollow_recovery::ledger::Held;
+use cloverhollow_recovery::{digest, Deed, Recovered};
 use cloverhollow_settings::FrontSettings;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU32, AtomicU64};
@@ -21,6 +23,12 @@
 /// How often the module is asked again within one instant, for actions that end in that instant. Each such
 /// round uses up an attempt, of which the settings allow 16 at most.
 const MOST_ROUNDS: usize = 20;
+/// A set-up whose first byte has not gone out so long after the decision never goes out. Guards a front that
+/// stood still in between: it would act on what has changed since (rules 3 and 4).
+const STALE: Duration = Duration::from_secs(1);
+/// The same for a further attempt, which is counted when it is decided: one that goes out later would fall into
+/// another span of the ration (rule 6).
+const STALE_FURTHER: Duration = Duration::from_millis(100);
 
 /// Someone who waits for a session's set-up.
 #[derive(Debug)]
@@ -51,6 +59,8 @@
     sent: u32,
     /// How the last attempt that may have run ended.
     ran: Option<AttemptEnd>,
+    /// An attempt could not be taken down, and did not go out.
+    not_kept: bool,
     phase: Phase,
     waiting: Vec<Waiter>,
     told: Contradictions,
@@ -77,6 +87,12 @@
     list: ServerList,
     gauges: HashMap<ServerId, Arc<Gauge>>,
     spent: Spent,
+    /// Until then no paid session can be proven to be new.
+    unproven: Duration,
+    /// Servers of which it is on the paper that they take no new work.
+    kept_stopped: BTreeSet<ServerId>,
+    /// Sessions of this front's last life that servers may still hold.
+    left_over: Vec<Held>,
     learning: Learning,
     timers: Timers,
     events: Vec<Event>,
@@ -103,6 +119,9 @@
             list: ServerList::default(),
             gauges: HashMap::new(),
             spent,
+            unproven: Duration::ZERO,
+            kept_stopped: BTreeSet::new(),
+            left_over: Vec::new(),
             learning: Learning::new(&settings, incarnation),
             timers: Timers::default(),
             events: Vec::new(),
@@ -212,6 +231,7 @@
                 }
                 self.commands.push(Command::Merged { peer, outcome });
             }
+            Input::Recovered(recovered) => self.recovered(*recovered),
             Input::Remembered(message) => {
                 let heard = self.learning.remember(self.now, &message);
                 self.events.extend(heard.into_iter().map(Event::Heard));
@@ -244,6 +264,27 @@
         }
     }
 
+    /// What earlier lives did, as far as it is proven. What is not proven counts as done.
+    fn recovered(&mut self, r: Recovered) {
+        tracing::info!(
+            proven = r.trust.words(),
+            paid = r.paid.len(),
+            stopped = r.stopped.len(),
+            "this front ran before"
+        );
+        if r.paid_missing() {
+            let paid = self.settings.classes.0.iter().filter(|c| c.paid);
+            let longest = paid.map(|c| c.deadline_ms.get()).max().unwrap_or_default();
+            self.unproven = self.now + longest;
+        }
+        r.paid.iter().for_each(|sid| self.spent.add(*sid));
+        self.kept_stopped.clone_from(&r.stopped);
+        self.list.stopped_before(r.stopped);
+        self.left_over = r.held;
+        let ran = r.ran.then_some(Duration::ZERO);
+        self.events.push(Event::Before(Before { further: r.further, known: r.known, ran }));
+    }
+
     // ---- Viewers ----
 
     fn arrived(&mut self, a: Arrival<A>) {
@@ -258,6 +299,11 @@
             let answer = Answer::Failed { late: false, reason: Reason::SetUpBefore };
             return self.answer(a.viewer, answer);
         }
+        // Nor is one of which it cannot be told: those who wait for an answer of the last life ask again now.
+        if class.paid && self.now < self.unproven {
+            let answer = Answer::Failed { late: false, reason: Reason::Unproven };
+            return self.answer(a.viewer, answer);
+        }
         if self.sessions.len() >= self.settings.sessions.most.count() {
             let after = self.settings.limits.hold_off_ms.get();
             return self.answer(a.viewer, Answer::Refused { after, reason: Reason::FrontFull });
@@ -289,6 +335,7 @@
             rung: 0,
             sent: 0,
             ran: None,
+            not_kept: false,
             phase: Phase::Deciding,
             waiting: vec![Waiter { viewer: a.viewer, owner: true }],
             told: a.contradictions,
@@ -425,7 +472,7 @@
         self.routes.insert(route.clone());
         s.phase = Phase::Playing { attempt, route: route.clone() };
         if s.paid {
-            self.spent.add(&s.sid);
+            self.spent.add(digest(&s.sid));
         }
         tracing::debug!(session = %s.sid, %attempt, server, rung = s.rung, "plays");
         let waiting = std::mem::take(&mut s.waiting);
@@ -460,7 +507,7 @@
             (AttemptEnd::Reset, _) => Outcome::Reset,
             // Time ran out before a connection was made: it never ran, and the server is out of reach.
             (AttemptEnd::NeverSent, Some(RecallWhy::TimedOut)) => Outcome::ConnectFailed,
-            (AttemptEnd::NeverSent, _) => Outcome::Moot,
+            (AttemptEnd::NeverSent | AttemptEnd::NotKept, _) => Outcome::Moot,
             (AttemptEnd::Unanswered, Some(RecallWhy::HungUp)) => Outcome::Cancelled,
             (AttemptEnd::Unanswered, _) => Outcome::Timeout,
         };
@@ -476,15 +523,18 @@
         }
         tracing::info!(session = %s.sid, %attempt, server, ?end, "attempt ended");
         s.phase = Phase::Deciding;
+        s.not_kept |= end == AttemptEnd::NotKept;
         if !outcome.never_ran() {
             s.ran = Some(end);
             if s.paid {
-                self.spent.add(&s.sid);
+                self.spent.add(digest(&s.sid));
             }
             // It may hold the session all the same.
             if let Some(address) = self.list.address(server) {
                 self.commands.push(Command::Release { address, server, sid: s.sid.clone() });
             }
+        } else if s.paid && s.ran.is_none() && end != AttemptEnd::NotKept {
+            self.commands.push(Command::Keep(Deed::Unrun { sid: digest(&s.sid) }));
         }
         let report = Report { link: load.link, rack: load.rack };
         self.events.push(Event::Ended(attempt.request, attempt.number, server, outcome, left, report));
@@ -546,8 +596,29 @@
         self.events.extend(self.learning.listed(self.now, &news).into_iter().map(Event::Heard));
         // Rule 3: a drain that comes between choice and send. What has not been sent is called back; the
         // module is told that it never ran, and picks anew.
+        for held in std::mem::take(&mut self.left_over) {
+            // Whoever held it for the last life lets go of it.
+            match self.list.address(held.server) {
+                Some(address) => {
+                    let (server, sid) = (held.server, Sid::from(held.sid));
+                    self.commands.push(Command::Release { address, server, sid });
+                }
+                None if news.mode != ListMode::Whole => self.left_over.push(held),
+                None => {}
+            }
+        }
+        if news.mode != ListMode::Stale {
+            for e in news.entries.iter().filter(|e| e.state == WireState::Serving) {
+                if self.kept_stopped.remove(&e.id) {
+                    self.commands.push(Command::Keep(Deed::Listed { server: e.id, serves: true }));
+                }
+            }
+        }
         for server in applied.stopped {
             tracing::info!(server, "takes no new work");
+            if self.kept_stopped.insert(server) {
+                self.commands.push(Command::Keep(Deed::Listed { server, serves: false }));
+            }
             let low = AttemptId { request: 0, number: 0 };
             let high = AttemptId { request: RequestId::MAX, number: u32::MAX };
             let out: Vec<_> = self.out_at.range((server, low)..=(server, high)).map(|(_, a)| *a).collect();
@@ -562,7 +633,12 @@
             Action::Send(request, server, within) => self.send(request, server, within),
             Action::Rung(request, rung) => self.set_rung(request, rung),
             Action::Refuse(request, after) => {
-                let reason = if self.list.serving() == 0 { Reason::NoServers } else { Reason::NoRoom };
+                let not_kept = self.sessions.get(&request).is_some_and(|s| s.not_kept);
+                let reason = match self.list.serving() {
+                    0 => Reason::NoServers,
+                    _ if not_kept => Reason::NotKept,
+                    _ => Reason::NoRoom,
+                };
                 self.finish(request, || Answer::Refused { after, reason });
             }
             Action::Fail(request) => {
@@ -593,13 +669,28 @@
         s.phase = Phase::Out { attempt, server, since: self.now, recalled: None };
         let kbps = self.rates[s.class].get(s.rung).copied().unwrap_or(0);
         let (sid, rung, ask) = (s.sid.clone(), s.rung, s.ask.clone());
+        // Only what a rule counts over a death is taken down: other set-ups wait for nothing.
+        let further = number > 0 && self.settings.rules.ration.is_some();
+        let (paid, text) = (s.paid, sid.to_string());
+        let deed = (paid || further).then_some(Deed::Out { sid: text, server, paid, further });
+        let until = self.now + if further { STALE_FURTHER } else { STALE };
         if number > 0 {
             tracing::info!(session = %sid, %attempt, server, "tries again");
         }
         count(&self.stats.attempts);
         self.out_at.insert((server, attempt));
         self.timers.arm(self.now + within, Due::Attempt(attempt));
-        self.commands.push(Command::Send(Setup { attempt, server, address, sid, rung, kbps, ask }));
+        self.commands.push(Command::Send(Setup {
+            attempt,
+            server,
+            address,
+            sid,
+            rung,
+            kbps,
+            deed,
+            until,
+            ask,
+        }));
     }
 
     fn set_rung(&mut self, request: RequestId, rung: usize) {
--- a/crates/session/src/types.rs
+++ b/crates/session/src/types.rs
@@ -6,6 +6,7 @@
 use cloverhollow_hints::{Contradictions, Faults};
 use cloverhollow_knowledge::wire::Message;
 use cloverhollow_knowledge::{Level, MergeError};
+use cloverhollow_recovery::{Deed, Recovered};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -89,6 +90,8 @@
     Reset,
     /// It was recalled after its first byte: it may have run or be running.
     Unanswered,
+    /// It could not be taken down that it goes out: it never did.
+    NotKept,
 }
 
 /// Why a session that played is over.
@@ -173,6 +176,8 @@
     },
     /// The message that this front itself kept before its start.
     Remembered(Box<Message>),
+    /// What is proven of this front's earlier lives; before anything else, or never.
+    Recovered(Box<Recovered>),
 }
 
 /// Why an attempt is recalled.
@@ -201,6 +206,10 @@
     pub rung: usize,
     /// Its rate, kbps.
     pub kbps: u32,
+    /// What must be taken down before its first byte goes out, if anything.
+    pub deed: Option<Deed>,
+    /// If its first byte has not gone out by then, it never goes out.
+    pub until: Duration,
     /// What the shell needs.
     pub ask: A,
 }
@@ -224,11 +233,15 @@
     ServerFailed,
     /// The request's own time was up while the session was being set up.
     TimeUp,
+    /// It cannot be taken down that a set-up goes out: none does.
+    NotKept,
+    /// This front came back and cannot prove which paid sessions its last life set up.
+    Unproven,
 }
 
 impl Reason {
     /// All of them, in the order of their counts.
-    pub const ALL: [Reason; 8] = [
+    pub const ALL: [Reason; 10] = [
         Reason::NoRoom,
         Reason::NoServers,
         Reason::FrontFull,
@@ -237,6 +250,8 @@
         Reason::Unanswered,
         Reason::ServerFailed,
         Reason::TimeUp,
+        Reason::NotKept,
+        Reason::Unproven,
     ];
 
     /// Its token.
@@ -250,6 +265,8 @@
             Reason::Unanswered => "unanswered",
             Reason::ServerFailed => "server-failed",
             Reason::TimeUp => "time-up",
+            Reason::NotKept => "not-kept",
+            Reason::Unproven => "unproven",
         }
     }
 }
@@ -301,6 +318,8 @@
         /// What it gets.
         answer: Answer<B>,
     },
+    /// Take this down for later lives; nobody waits for it.
+    Keep(Deed),
     /// Tell a server that a session is over, so that it lets go of what it may hold.
     Release {
         /// Where the server is.
--- a/crates/session/tests/common/mod.rs
+++ b/crates/session/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use cloverhollow::{Brain, ListMode};
 use cloverhollow_hints::cmcd::Record;
 use cloverhollow_hints::{reconcile, Faults};
+use cloverhollow_recovery::Deed;
 use cloverhollow_session::*;
 use cloverhollow_settings::FrontSettings;
 use std::sync::Arc;
@@ -70,26 +71,35 @@
     Input::Arrived(arrival(&s, viewer, &format!("/club/{class}/t1/0"), &format!("sid=\"{sid}\",su")))
 }
 
-/// Commands as words, for comparing.
+/// What is taken down for later lives.
+pub fn kept(commands: &[Command<u32, &'static str>]) -> Vec<Deed> {
+    let deed = |c: &Command<u32, &'static str>| match c {
+        Command::Keep(deed) => Some(deed.clone()),
+        _ => None,
+    };
+    commands.iter().filter_map(deed).collect()
+}
+
+/// Commands as words, for comparing; without what is taken down.
 pub fn words(commands: &[Command<u32, &'static str>]) -> Vec<String> {
-    commands
-        .iter()
-        .map(|c| match c {
-            Command::Send(s) => format!("send {} {}", s.sid, s.attempt),
-            Command::Recall { attempt, why } => format!("recall {attempt} {why:?}"),
-            Command::Release { sid, .. } => format!("release {sid}"),
-            Command::Merged { outcome, .. } => format!("merged {}", outcome.is_ok()),
-            Command::Answer { viewer, answer } => {
-                let v = viewer.0;
-                match answer {
-                    Answer::Stream { answer, .. } => format!("{v} stream {answer}"),
-                    Answer::Follow(_) => format!("{v} follow"),
-                    Answer::Refused { reason, .. } => format!("{v} refused {}", reason.token()),
-                    Answer::Failed { reason, .. } => format!("{v} failed {}", reason.token()),
-                }
+    let done = commands.iter().filter(|c| !matches!(c, Command::Keep(_)));
+    done.map(|c| match c {
+        Command::Send(s) => format!("send {} {}", s.sid, s.attempt),
+        Command::Recall { attempt, why } => format!("recall {attempt} {why:?}"),
+        Command::Keep(_) => unreachable!("left out"),
+        Command::Release { sid, .. } => format!("release {sid}"),
+        Command::Merged { outcome, .. } => format!("merged {}", outcome.is_ok()),
+        Command::Answer { viewer, answer } => {
+            let v = viewer.0;
+            match answer {
+                Answer::Stream { answer, .. } => format!("{v} stream {answer}"),
+                Answer::Follow(_) => format!("{v} follow"),
+                Answer::Refused { reason, .. } => format!("{v} refused {}", reason.token()),
+                Answer::Failed { reason, .. } => format!("{v} failed {}", reason.token()),
             }
-        })
-        .collect()
+        }
+    })
+    .collect()
 }
 
 pub fn sent(commands: &[Command<u32, &'static str>]) -> Setup<u32> {
--- a/crates/session/tests/core.rs
+++ b/crates/session/tests/core.rs
@@ -133,7 +133,7 @@
     // Never sent: nothing is to be closed, and the sid may come again.
     let (mut core, setup) = one_out("paid");
     core.step(DAY + ms(10), [Input::HungUp { viewer: ViewerId(1), sid: "s".into() }]);
-    assert!(core.step(DAY + ms(11), [ended(setup.attempt, AttemptEnd::NeverSent)]).is_empty());
+    assert!(words(&core.step(DAY + ms(11), [ended(setup.attempt, AttemptEnd::NeverSent)])).is_empty());
     sent(&core.step(DAY + ms(20), [call(2, "s", "paid")]));
 }
 
--- a/crates/session/tests/days.rs
+++ b/crates/session/tests/days.rs
@@ -72,6 +72,7 @@
                 self.out.insert(s.attempt, Out { sid: s.sid, paid, server: s.server, went: false });
                 None
             }
+            Command::Keep(_) => None,
             Command::Recall { attempt, why } => {
                 let out = self.out.get(&attempt)?;
                 let end = match (out.went, why) {
--- /dev/null
+++ b/crates/session/tests/lives.rs
@@ -0,0 +1,157 @@
+//! What a life tells the next one, and what the next one makes of it.
+
+mod common;
+
+use cloverhollow::{Brain, ListMode};
+use cloverhollow_recovery::{
+    digest, frame, recover, Boot, Bounds, Deed, Found, Recovered, Stamp, Trust, Why,
+};
+use cloverhollow_session::*;
+use common::*;
+use std::time::Duration;
+
+/// Deeds of a life, as a killed process leaves them, read by the next one `gone_ms` after the last of them.
+fn next_life(deeds: &[Deed], gone_ms: u64) -> Recovered {
+    let stamp = |ms: u64| Stamp { boot_ms: ms, wall_ms: 1_000_000 + ms };
+    let mut bytes = frame::MAGIC.to_vec();
+    frame::encode(stamp(0), &Deed::Began { boot: Boot(1) }, &mut bytes).unwrap();
+    deeds.iter().for_each(|d| frame::encode(stamp(1), d, &mut bytes).unwrap());
+    let found = Found { bytes: Some(&bytes), changed_ms: stamp(1).wall_ms, ran_before: true };
+    recover(found, Boot(1), stamp(1 + gone_ms), &Bounds::default()).1
+}
+
+fn unproven() -> Recovered {
+    let found = Found { bytes: None, changed_ms: 0, ran_before: true };
+    recover(found, Boot(1), Stamp::default(), &Bounds::default()).1
+}
+
+fn with_ration(seed: u64) -> TestCore {
+    let s = settings(
+        &format!("{SETTINGS}  ration: {{free: 1, share: 0, span_ms: 10000}}\n")
+            .replace("rules: {cold_ms: 10000, fall_ms: 1000}\n", "")
+            .replace("  ration:", "rules:\n  cold_ms: 10000\n  fall_ms: 1000\n  ration:"),
+    );
+    Core::new(Brain::new(s.decisions(), seed), s, 1)
+}
+
+#[test]
+fn a_paid_set_up_is_taken_down_before_it_goes_out_and_taken_back_when_it_never_ran() {
+    let mut core = core();
+    core.step(DAY, [serving(2)]);
+    let setup = sent(&core.step(DAY, [call(1, "one", "paid")]));
+    let server = setup.server;
+    assert_eq!(setup.deed, Some(Deed::Out { sid: "one".into(), server, paid: true, further: false }));
+    let commands = core.step(DAY + ms(5), [ended(setup.attempt, AttemptEnd::NotConnected)]);
+    assert_eq!(kept(&commands), [Deed::Unrun { sid: digest("one") }]);
+    // The next attempt is taken down again, after that.
+    assert!(sent(&commands).deed.is_some());
+    let free = sent(&core.step(DAY + ms(9), [call(2, "two", "clip")]));
+    assert_eq!(free.deed, None, "what no rule counts waits for no disk");
+}
+
+#[test]
+fn a_paid_session_that_may_have_run_in_an_earlier_life_is_never_set_up_again() {
+    let out = |sid: &str| Deed::Out { sid: sid.into(), server: 1, paid: true, further: false };
+    let deeds = [out("ran"), out("never"), Deed::Unrun { sid: digest("never") }];
+    let mut core = core();
+    core.step(DAY, [Input::Recovered(Box::new(next_life(&deeds, 50))), serving(2)]);
+    // Its player asks again with the same session, as at its start.
+    let again = core.step(DAY + ms(1), [call(1, "ran", "paid")]);
+    assert_eq!(words(&again), ["1 failed set-up-before"]);
+    for (viewer, sid) in [(2, "never"), (3, "new")] {
+        assert_eq!(&*sent(&core.step(DAY + ms(2), [call(viewer, sid, "paid")])).sid, sid);
+    }
+}
+
+#[test]
+fn what_a_dead_life_left_at_servers_is_let_go_of() {
+    let out = Deed::Out { sid: "left".into(), server: 2, paid: true, further: false };
+    let mut core = core();
+    let commands = core.step(DAY, [Input::Recovered(Box::new(next_life(&[out], 50)))]);
+    assert!(commands.is_empty(), "no address is known yet");
+    assert_eq!(words(&core.step(DAY + ms(1), [serving(2)])), ["release left"]);
+    assert!(words(&core.step(DAY + ms(2), [serving(2)])).is_empty(), "once");
+}
+
+#[test]
+fn a_drain_heard_after_the_list_was_kept_is_kept_to() {
+    let mut core = core();
+    core.step(DAY, [serving(2)]);
+    let drain = list(ListMode::Patch, vec![server(1, WireState::Draining)]);
+    let deeds = kept(&core.step(DAY + ms(1), [drain]));
+    assert_eq!(deeds, [Deed::Listed { server: 1, serves: false }]);
+    let back = list(ListMode::Patch, vec![server(1, WireState::Serving)]);
+    let told_back = kept(&core.step(DAY + ms(2), [back]));
+    assert_eq!(told_back, [Deed::Listed { server: 1, serves: true }]);
+    // Killed before the list with the drain was kept: the next life has the list from before it.
+    let stale = || list(ListMode::Stale, vec![server(1, WireState::Serving), server(2, WireState::Serving)]);
+    let sends_to = |deeds: &[Deed]| {
+        let mut core = common::core();
+        core.step(DAY, [Input::Recovered(Box::new(next_life(deeds, 50))), stale()]);
+        let calls = (1..9).map(|v| call(v, &format!("s{v}"), "clip"));
+        let commands = core.step(DAY + ms(1), calls);
+        let servers = commands.iter().filter_map(|c| match c {
+            Command::Send(s) => Some(s.server),
+            _ => None,
+        });
+        servers.collect::<std::collections::BTreeSet<_>>()
+    };
+    assert_eq!(sends_to(&deeds).into_iter().collect::<Vec<_>>(), [2]);
+    assert_eq!(sends_to(&[deeds, told_back].concat()).len(), 2);
+}
+
+#[test]
+fn a_further_attempt_of_an_earlier_life_counts_and_one_too_old_to_send_is_marked() {
+    let further = Deed::Out { sid: "x".into(), server: 1, paid: false, further: true };
+    let tries = |recovered: Option<Recovered>| {
+        let mut core = with_ration(3);
+        core.step(DAY, recovered.map(|r| Input::Recovered(Box::new(r))).into_iter().chain([serving(3)]));
+        let setup = sent(&core.step(DAY, [call(1, "one", "clip")]));
+        assert_eq!(setup.until, DAY + Duration::from_secs(1));
+        let commands = core.step(DAY + ms(5), [ended(setup.attempt, AttemptEnd::NotConnected)]);
+        let second = commands.iter().find_map(|c| match c {
+            Command::Send(s) => Some((s.deed.clone(), s.until)),
+            _ => None,
+        });
+        if let Some((deed, until)) = &second {
+            assert!(matches!(deed, Some(Deed::Out { further: true, .. })));
+            assert_eq!(*until, DAY + ms(105));
+        }
+        second.is_some()
+    };
+    assert!(tries(None), "a first life");
+    assert!(!tries(Some(next_life(std::slice::from_ref(&further), 4_000))), "spent 4 s ago");
+    assert!(tries(Some(next_life(&[further], 11_000))), "spent 11 s ago");
+    assert!(!tries(Some(unproven())), "nobody knows");
+}
+
+#[test]
+fn after_a_start_that_proves_nothing_paid_viewers_fail_for_a_deadline_and_others_play() {
+    let mut core = core();
+    let r = unproven();
+    assert_eq!(r.trust, Trust::Unproven(Why::Gone));
+    core.step(DAY, [Input::Recovered(Box::new(r)), serving(2)]);
+    assert_eq!(words(&core.step(DAY + ms(1), [call(1, "one", "paid")])), ["1 failed unproven"]);
+    let other = sent(&core.step(DAY + ms(1), [call(2, "two", "clip")]));
+    core.step(DAY + ms(2), [playing(other.attempt)]);
+    // The class's deadline is 3 s: whoever waited for an answer of the last life has given up.
+    assert_eq!(words(&core.step(DAY + ms(2_999), [call(3, "three", "paid")])), ["3 failed unproven"]);
+    sent(&core.step(DAY + ms(3_000), [call(4, "four", "paid")]));
+}
+
+#[test]
+fn what_cannot_be_taken_down_does_not_go_out_and_the_viewer_is_told_why() {
+    let mut core = core();
+    core.step(DAY, [serving(4)]);
+    let mut commands = core.step(DAY, [call(1, "one", "paid")]);
+    let mut rounds = 0;
+    while let Some(attempt) = commands.iter().find_map(|c| match c {
+        Command::Send(s) => Some(s.attempt),
+        _ => None,
+    }) {
+        rounds += 1;
+        commands = core.step(DAY + ms(rounds), [ended(attempt, AttemptEnd::NotKept)]);
+        assert!(kept(&commands).is_empty(), "there is nothing to take back");
+    }
+    assert_eq!((rounds, words(&commands)), (3, vec!["1 refused not-kept".to_string()]));
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,7 +5,13 @@
 //! carries a CRC-32 of its own. A file that cannot be opened or whose values do not check is set aside under
 //! `.bad` and never trusted; the start goes on without.
 //!
-//! What the bytes mean is the callers': this crate knows neither list nor knowledge.
+//! Beside it, [`Paper`]: an append-only file for what must be taken down before it is done.
+//!
+//! What the bytes mean is the callers': this crate knows neither list nor knowledge nor deeds.
+
+mod paper;
+
+pub use paper::{Found, Paper, PaperError, PaperFile, MOST_PAPER};
 
 use redb::{Database, Durability, ReadableDatabase, TableDefinition};
 use std::panic::{catch_unwind, AssertUnwindSafe};
