--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,7 +1,7 @@
 //! Plays a day: stand-ins, discovery, fronts as processes, viewers and troubles on loopback; then the rules
 //! are checked from what passed.
 
-use crate::exchange::{Exchange, Log};
+use crate::exchange::{Exchange, Log, Seen};
 use crate::fleet::{peer_cost, PeerCost};
 use crate::fronts::{FrontCommand, FrontError, Fronts, StartMode};
 use crate::plan;
@@ -74,6 +74,8 @@
     pub rules: Vec<Verdict>,
     /// Servers that fell over, by whoever's doing.
     pub toppled: usize,
+    /// Fronts that were killed.
+    pub deaths: usize,
     /// When the day began on the exchanges' clock.
     #[serde(skip)]
     pub start: Duration,
@@ -101,7 +103,9 @@
     std::fs::create_dir_all(&options.dir).map_err(dir)?;
     // What was kept of another day would be lies.
     for front in 0..script.fronts.count() {
-        let _ = std::fs::remove_file(options.dir.join(format!("front-{front}.keep")));
+        for file in [format!("front-{front}.keep"), format!("front-{front}.keep.deeds")] {
+            let _ = std::fs::remove_file(options.dir.join(file));
+        }
     }
     let fleet = plan::fleet(script);
     let viewers = plan::viewers(script, &fleet);
@@ -177,6 +181,7 @@
         viewers: count,
         score: audience.tally.score(),
         toppled: rules::toppled(&exchanges),
+        deaths: exchanges.iter().filter(|e| matches!(e.seen, Seen::FrontDown { .. })).count(),
         start,
         cost,
         rules,
--- a/crates/lab/src/exchange.rs
+++ b/crates/lab/src/exchange.rs
@@ -114,6 +114,12 @@
         all.push(Exchange { at, seen });
     }
 
+    /// Those after the first `n`.
+    pub fn after(&self, n: usize) -> Vec<Exchange> {
+        let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+        all.get(n..).unwrap_or_default().to_vec()
+    }
+
     /// All of them.
     pub fn take(&self) -> Vec<Exchange> {
         std::mem::take(&mut self.all.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -129,7 +129,11 @@
         if c.mode == StartMode::Cold {
             let _ = std::fs::remove_file(&file);
         }
-        s["keep"] = serde_json::json!({ "file": file });
+        if c.policy == PolicyName::Forgets {
+            let deeds = c.dir.join(format!("front-{front}.keep.deeds"));
+            [file.clone(), deeds].iter().for_each(|f| drop(std::fs::remove_file(f)));
+        }
+        s["keep"]["file"] = serde_json::json!(file);
         if c.mode == StartMode::Warm {
             s["peers"]["addresses"] = self.seeds(front, seed).into();
         }
@@ -167,6 +171,9 @@
     pub async fn start(&self, front: usize) -> Result<(), FrontError> {
         let io = |source| FrontError::Io { front, source };
         let c = &self.command;
+        if self.slot(front).child.is_some() {
+            return Ok(()); // another trouble was first
+        }
         let starts = {
             let mut slot = self.slot(front);
             slot.starts += 1;
@@ -199,9 +206,13 @@
 
     /// Kills a front outright.
     pub async fn kill(&self, front: usize) {
+        // Another trouble was first: it is started again by that one.
+        let child = self.slot(front).child.take();
+        if child.is_none() {
+            return;
+        }
         // Taken down first: from here on nothing is owed by it.
         self.log.put(Seen::FrontDown { front });
-        let child = self.slot(front).child.take();
         if let Some(mut child) = child {
             let _ = child.kill().await;
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`fleet`]: the same day with fronts that come back cold, with their last list, and warm.
 //! - [`exchange`]: what passed over the sockets; [`rules`]: the six rules checked from that alone;
 //!   [`score`]: worth served over worth asked.
+//! - [`hunt`]: days drawn from seeds and played in numbers; what breaks a rule is shrunk.
 //! - [`bench`]: measures of a front as a process.
 //! - [`policies`]: baselines, and fronts broken on purpose, by which each checker is shown to fail.
 
@@ -14,6 +15,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod fronts;
+pub mod hunt;
 pub mod model;
 pub mod plan;
 pub mod policies;
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -56,6 +56,8 @@
     pub silent_end: bool,
     /// It asks twice at once.
     pub twice: bool,
+    /// It sends the same request again where a front broke off before its answer.
+    pub resends: bool,
     /// Its hints.
     pub hints: HintStyle,
     /// Seed of what it draws on its way.
@@ -198,7 +200,11 @@
         })
         .collect();
     all.sort_by_key(|v| v.at);
-    all.iter_mut().enumerate().for_each(|(i, v)| v.id = i);
+    let mut resends = stream(seed, "resends");
+    for (i, v) in all.iter_mut().enumerate() {
+        v.id = i;
+        v.resends = resends.random::<f64>() < script.viewers.resends.get();
+    }
     all
 }
 
@@ -265,6 +271,7 @@
         hang_up: hangs.then_some(hang_after),
         silent_end,
         twice,
+        resends: false,
         hints,
         seed: rng.random(),
     }
--- a/crates/lab/src/rules/answers.rs
+++ b/crates/lab/src/rules/answers.rs
@@ -1,5 +1,8 @@
 //! Rule 1: a request that a running front took gets exactly one answer before the viewer's time is up.
 //!
+//! Over a death: a request that waits when its front dies breaks off with it; what the next life says to a new
+//! one counts by itself.
+//!
 //! Excused: a front that was killed or stood still while the request waited. Allowed: `GRACE`, for the way
 //! and for a machine that is busy.
 
--- a/crates/lab/src/rules/cold.rs
+++ b/crates/lab/src/rules/cold.rs
@@ -1,7 +1,7 @@
 //! Rule 4: all fronts together never send a server that has just started so many set-ups that it falls over.
 //!
 //! In any window of the stated length, set-ups stay under multiple x present capacity x window, and the
-//! script's slack for chance. A window that is over it counts as broken if more than half of it came from
+//! script's slack for chance. Over a death: set-ups count whoever sent them, the dead included. A window that is over it counts as broken if more than half of it came from
 //! fronts that knew: told of the start, started after it, or witnesses of the failure before it.
 
 use super::{Check, Verdict};
--- a/crates/lab/src/rules/mod.rs
+++ b/crates/lab/src/rules/mod.rs
@@ -99,6 +99,12 @@
         self.spans.get(&front).is_some_and(|all| all.iter().any(|(a, b)| *a <= to && from <= *b))
     }
 
+    /// Until when it ran, of a front that was killed then: earlier where it stood still before.
+    fn ran_until(&self, front: usize, killed: Duration) -> Duration {
+        let still = self.spans.get(&front).into_iter().flatten().find(|(a, b)| *a < killed && killed <= *b);
+        still.map_or(killed, |(a, _)| *a)
+    }
+
     /// When it last began to run, by that time.
     fn running_since(&self, front: usize, at: Duration) -> Duration {
         let ends = self.spans.get(&front).into_iter().flatten().map(|(_, b)| *b);
--- a/crates/lab/src/rules/ration.rs
+++ b/crates/lab/src/rules/ration.rs
@@ -1,5 +1,7 @@
 //! Rule 6: further attempts of one front stay in their budget, over any window of its span.
 //!
+//! Over a death: a front is counted by its name; its lives share one budget.
+//!
 //! Attempts that reached a server are seen, and requests that viewers sent (a second request of a session that
 //! was refused is one more that the front took). Allowed: `WAY` at both ends of a
 //! window, as a front counts when it sends and takes.
--- a/crates/lab/src/rules/terms.rs
+++ b/crates/lab/src/rules/terms.rs
@@ -1,6 +1,9 @@
 //! Rule 5: no rung under the class's floor, over its top or over what the viewer can use, and no more sessions
 //! of one title and class at a front than there are seats.
 //!
+//! Over a death: a session's bytes pass through its front, so it ends with it and its seat is free; the next
+//! life begins with none taken.
+//!
 //! A seat is taken from the set-up's arrival until its end as the server, the viewer or the front's death
 //! shows it, whichever is first. Allowed: a session that ends within `SETTLE` after another was set up had
 //! ended for the front already (its word to the server goes a way of its own).
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -125,6 +125,10 @@
     pub odd_hints: Real<0, 1_000>,
     /// The part of them that asks twice at once, on two connections; 0 to 1.
     pub twice: Real<0, 1_000>,
+    /// The part of them that, when a front breaks off before its answer, sends the same request to it again, as
+    /// HTTP clients may; 0 to 1. Default 0.
+    #[serde(default = "none")]
+    pub resends: Real<0, 1_000>,
     /// Playing time of an object; 100 ms to a minute.
     pub object_ms: Ms<100, 60_000>,
     /// Points of worth lost for each point of the rate that is missing under 98 in 100; 0 to 100.
@@ -141,6 +145,11 @@
     Ageing,
     /// Fronts are killed and come back after the time, with their last list.
     BalancerCrash,
+    /// Fronts are killed the instant that they are in the state `when`, once each within the time, and come back
+    /// `size` seconds later.
+    BalancerCrashWhen,
+    /// Fronts are killed every `size` seconds for the time, and started again at once.
+    BalancerLoop,
     /// All fronts are restarted one after the other over the time.
     BalancerRoll,
     /// Fronts stand still for the time.
@@ -196,6 +205,24 @@
     pub size: Real<0, 1_000_000>,
     /// Whose burst it is.
     pub tenant: Option<Name>,
+    /// In which state fronts are killed.
+    pub when: Option<When>,
+}
+
+/// States of a front, as the servers see them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum When {
+    /// An attempt is out.
+    AttemptOut,
+    /// A paid set-up runs and is not answered.
+    PaidOut,
+    /// A further attempt has just arrived: the ration is used, or about to be.
+    Further,
+}
+
+fn none() -> Real<0, 1_000> {
+    Real::least()
 }
 
 fn zero() -> Ms<0, 3_600_000> {
@@ -294,6 +321,12 @@
             if t.kind == Kind::TenantBurst && t.tenant.is_none() {
                 return fault(&field, "tenant_burst names its tenant".into());
             }
+            if (t.kind == Kind::BalancerCrashWhen) != t.when.is_some() {
+                return fault(&field, "balancer_crash_when, and it alone, names `when`".into());
+            }
+            if t.kind == Kind::BalancerLoop && t.size.get() < 0.1 {
+                return fault(&field, "size is 0.1 s or more here".into());
+            }
             let divides = matches!(t.kind, Kind::OriginSlow | Kind::Slow | Kind::Ageing);
             if divides && t.size.get() < 1.0 {
                 return fault(&field, "size is 1 or more here".into());
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -1,14 +1,14 @@
 //! Plays a script's troubles: each in a task of its own, begun and ended by the day's clock.
 
-use crate::exchange::Log;
+use crate::exchange::{Log, Seen};
 use crate::fronts::Fronts;
 use crate::plan::stream;
-use crate::script::{Kind, Script, Trouble};
+use crate::script::{Kind, Script, Trouble, When};
 use crate::standin::{Discovery, Mode, ServerHandle, World};
 use cloverhollow_session::{ServerEntry, WireState};
 use rand::seq::SliceRandom;
 use rand::RngExt;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::Duration;
@@ -205,6 +205,21 @@
                     self.start(*f).await;
                 }
             }
+            Kind::BalancerCrashWhen => self.clone().kill_when(&c, end).await,
+            Kind::BalancerLoop => {
+                let mut lives = JoinSet::new();
+                for front in c.fronts {
+                    let me = self.clone();
+                    lives.spawn(async move {
+                        while me.log.now() < end {
+                            sleep(Duration::from_secs_f64(size)).await;
+                            me.fronts.kill(front).await;
+                            me.start(front).await;
+                        }
+                    });
+                }
+                while lives.join_next().await.is_some() {}
+            }
             Kind::BalancerRoll => {
                 let step = t.for_ms.get() / self.fronts.count().max(1) as u32;
                 for f in 0..self.fronts.count() {
@@ -225,6 +240,28 @@
         tracing::info!(kind = ?t.kind, "trouble ends");
     }
 
+    /// Kills each of the fronts the instant that the servers see it in the state, and starts it again later.
+    async fn kill_when(self: Arc<Self>, c: &Cast, end: Duration) {
+        let Some(when) = c.trouble.when else { return };
+        let paid: Vec<bool> = self.script.front.classes.0.iter().map(|class| class.paid).collect();
+        let (mut watch, mut waiting) = (Watch::new(when, paid), c.fronts.clone());
+        let mut lives = JoinSet::new();
+        while self.log.now() < end && !waiting.is_empty() {
+            for front in watch.look(&self.log) {
+                let Some(i) = waiting.iter().position(|f| *f == front) else { continue };
+                waiting.swap_remove(i);
+                let (me, gone) = (self.clone(), Duration::from_secs_f64(c.trouble.size.get()));
+                lives.spawn(async move {
+                    me.fronts.kill(front).await;
+                    sleep(gone).await;
+                    me.start(front).await;
+                });
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+        while lives.join_next().await.is_some() {}
+    }
+
     async fn start(&self, front: usize) {
         if let Err(e) = self.fronts.start(front).await {
             tracing::error!(error = %e, "front did not come back");
@@ -260,6 +297,40 @@
     }
 }
 
+/// Watches what passes for fronts that are in a state.
+struct Watch {
+    when: When,
+    paid: Vec<bool>,
+    seen: usize,
+    sids: BTreeSet<Arc<str>>,
+}
+
+impl Watch {
+    fn new(when: When, paid: Vec<bool>) -> Self {
+        Watch { when, paid, seen: 0, sids: BTreeSet::new() }
+    }
+
+    /// Fronts that came into the state since the last look.
+    fn look(&mut self, log: &Log) -> Vec<usize> {
+        let new = log.after(self.seen);
+        self.seen += new.len();
+        let mut found = Vec::new();
+        for e in new {
+            let Seen::SetupRead { front, sid, class, ran, .. } = e.seen else { continue };
+            let further = !self.sids.insert(sid);
+            let there = match self.when {
+                When::AttemptOut => true,
+                When::PaidOut => ran && self.paid.get(class).copied().unwrap_or(false),
+                When::Further => further,
+            };
+            if there {
+                found.push(front);
+            }
+        }
+        found
+    }
+}
+
 /// A server as discovery lists it.
 pub fn entry(s: &crate::model::Server, handle: &ServerHandle, state: WireState) -> ServerEntry {
     ServerEntry {
--- a/crates/settings/src/ranged.rs
+++ b/crates/settings/src/ranged.rs
@@ -88,6 +88,11 @@
         Real(n)
     }
 
+    /// The least in range.
+    pub const fn least() -> Self {
+        Real(LO as f64 / 1e3)
+    }
+
     /// 1, or the nearest in range.
     pub const fn one() -> Self {
         let (lo, hi) = (LO as f64 / 1e3, HI as f64 / 1e3);
