--- a/crates/lab/src/rules/ration.rs
+++ b/crates/lab/src/rules/ration.rs
@@ -1,8 +1,8 @@
 //! Rule 6: further attempts of one front stay in their budget, over any window of its span.
 //!
 //! Over a death: a front is counted by its name; its lives share one budget. A viewer whose request broke off
-//! with its front and who sends it again makes a request of its own: the first attempt for that is not a further
-//! one.
+//! with its front or was refused, and who sends it again or sent it twice, makes a request of its own: the first
+//! attempt for that is not a further one.
 //!
 //! Attempts that reached a server are seen, and requests that viewers sent (a second request of a session that
 //! was refused is one more that the front took). Allowed: `WAY` at both ends of a
@@ -26,7 +26,7 @@
     for e in all {
         match &e.seen {
             Seen::Called { front, .. } => taken.entry(*front).or_default().push(e.at),
-            Seen::CallEnded { sid, got: Got::Lost, .. } => {
+            Seen::CallEnded { sid, got: Got::Lost | Got::Status { status: 503, .. }, .. } => {
                 seen.remove(sid);
             }
             Seen::SetupRead { sid, front, arrived, .. } if !seen.insert(sid) => {
