--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -155,3 +155,33 @@
     assert!(saw.try_recv().is_err(), "nothing went out");
     kill(child);
 }
+
+#[test]
+fn a_death_during_the_warm_start_loses_nothing_of_the_life_before() {
+    let dir = folder("warming");
+    let (tx, saw) = channel();
+    let config = settings(&dir, discovery(server(tx)), "");
+    let (child, address, side) = front(&config);
+    until_ready(side);
+    let _viewer = ask(address, "/club/paid/t/0", AT_START);
+    assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Setup("one".into()));
+    kill(child);
+    // A peer that takes the question and never answers.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let peers = format!(
+        "peers: {{addresses: [\"{}\"], hold_ms: 60000, deadline_ms: 60000, jitter_ms: 0}}\n",
+        silent.local_addr().unwrap()
+    );
+    let text = std::fs::read_to_string(&config).unwrap();
+    std::fs::write(&config, text.clone() + &peers).unwrap();
+    let (child, _, side) = front(&config);
+    let _asked = silent.accept().unwrap();
+    assert!(whole(ask(side, "/health", "")).contains("\"level\":\"warming\""));
+    kill(child);
+    std::fs::write(&config, text).unwrap();
+    let (child, address, side) = front(&config);
+    until_ready(side);
+    let again = whole(ask(address, "/club/paid/t/0", AT_START));
+    assert!(again.starts_with("HTTP/1.1 502") && again.contains("set-up-before"), "{again}");
+    kill(child);
+}
--- a/crates/lab/tests/broken.rs
+++ b/crates/lab/tests/broken.rs
@@ -12,7 +12,11 @@
 fn start(script: &str, policy: &str) -> Child {
     Command::new(env!("CARGO_BIN_EXE_cloverhollow-lab"))
         .args(["day", script, "--policy", policy, "--json", "--log-level", "error", "--dir"])
-        .arg(std::env::temp_dir().join(format!("cloverhollow-test-{}-{policy}", std::process::id())))
+        .arg(std::env::temp_dir().join(format!(
+            "cloverhollow-test-{}-{}-{policy}",
+            std::process::id(),
+            script.replace('/', "-")
+        )))
         .current_dir(root())
         .stdout(Stdio::piped())
         .spawn()
@@ -48,9 +52,12 @@
 #[test]
 fn a_front_that_forgets_over_its_deaths_is_found_and_one_that_keeps_its_deeds_keeps_the_rules() {
     let (forgets, brain) = (start("days/deaths.yaml", "forgets"), start("days/deaths.yaml", "brain"));
+    let all_at_once = start("days/mass-death.yaml", "brain");
     let (kept, found) = broken(forgets);
     let rules: Vec<_> = found.iter().map(|(rule, _)| *rule).collect();
     assert!(!kept && rules.contains(&2) && rules.contains(&6), "{found:?}");
-    let (kept, found) = broken(brain);
-    assert!(kept && found.is_empty(), "{found:?}");
+    for day in [brain, all_at_once] {
+        let (kept, found) = broken(day);
+        assert!(kept && found.is_empty(), "{found:?}");
+    }
 }
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -3,16 +3,15 @@
 use crate::arrival;
 use crate::gauge::Gauge;
 use crate::learn::{Learning, Shelf};
-use crate::list::{ListNews, SavedList, ServerList, WireState};
+use crate::list::{ListNews, SavedList, ServerList};
+use crate::lives::Lives;
 use crate::policy::Policy;
 use crate::routes::{Route, Routes};
-use crate::spent::Spent;
 use crate::stats::{count, Stats};
 use crate::timers::{Due, Timers};
 use crate::types::*;
 use cloverhollow::{Action, Before, Call, Event, ListMode, Note, Outcome, Report, RequestId, ServerId};
 use cloverhollow_hints::{Contradiction, Contradictions};
-use cloverhollow_recovery::ledger::Held;
 use cloverhollow_recovery::{digest, Deed, Recovered};
 use cloverhollow_settings::FrontSettings;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -86,13 +85,7 @@
     out_at: BTreeSet<(ServerId, AttemptId)>,
     list: ServerList,
     gauges: HashMap<ServerId, Arc<Gauge>>,
-    spent: Spent,
-    /// Until then no paid session can be proven to be new.
-    unproven: Duration,
-    /// Servers of which it is on the paper that they take no new work.
-    kept_stopped: BTreeSet<ServerId>,
-    /// Sessions of this front's last life that servers may still hold.
-    left_over: Vec<Held>,
+    lives: Lives,
     learning: Learning,
     timers: Timers,
     events: Vec<Event>,
@@ -104,7 +97,7 @@
     pub fn new(policy: P, settings: Arc<FrontSettings>, incarnation: u64) -> Self {
         let classes = settings.classes.0.len();
         let rates = (0..classes).map(|c| arrival::rates(&settings, c).into()).collect();
-        let spent = Spent::new(settings.sessions.spent.count());
+        let lives = Lives::new(settings.sessions.spent.count());
         Core {
             policy,
             rates,
@@ -118,10 +111,7 @@
             out_at: BTreeSet::new(),
             list: ServerList::default(),
             gauges: HashMap::new(),
-            spent,
-            unproven: Duration::ZERO,
-            kept_stopped: BTreeSet::new(),
-            left_over: Vec::new(),
+            lives,
             learning: Learning::new(&settings, incarnation),
             timers: Timers::default(),
             events: Vec::new(),
@@ -265,22 +255,12 @@
     }
 
     /// What earlier lives did, as far as it is proven. What is not proven counts as done.
-    fn recovered(&mut self, r: Recovered) {
-        tracing::info!(
-            proven = r.trust.words(),
-            paid = r.paid.len(),
-            stopped = r.stopped.len(),
-            "this front ran before"
-        );
-        if r.paid_missing() {
-            let paid = self.settings.classes.0.iter().filter(|c| c.paid);
-            let longest = paid.map(|c| c.deadline_ms.get()).max().unwrap_or_default();
-            self.unproven = self.now + longest;
-        }
-        r.paid.iter().for_each(|sid| self.spent.add(*sid));
-        self.kept_stopped.clone_from(&r.stopped);
+    fn recovered(&mut self, mut r: Recovered) {
+        let (paid, stopped) = (r.paid.len(), r.stopped.len());
+        tracing::info!(proven = r.trust.words(), paid, stopped, "this front ran before");
+        let waits = self.settings.classes.0.iter().filter(|c| c.paid).map(|c| c.deadline_ms.get());
+        self.lives.recovered(self.now, &mut r, waits.max().unwrap_or_default());
         self.list.stopped_before(r.stopped);
-        self.left_over = r.held;
         let ran = r.ran.then_some(Duration::ZERO);
         self.events.push(Event::Before(Before { further: r.further, known: r.known, ran }));
     }
@@ -293,16 +273,11 @@
             return self.joined(request, a);
         }
         let class = &self.settings.classes.0[a.class];
-        // Rule 2: a paid session of which it is not certain that it never ran is not set up. It may have
-        // run here, or, when the hints say that it plays, at a front that is gone.
-        if self.spent.has(&a.sid) || (class.paid && a.underway) {
-            let answer = Answer::Failed { late: false, reason: Reason::SetUpBefore };
-            return self.answer(a.viewer, answer);
-        }
-        // Nor is one of which it cannot be told: those who wait for an answer of the last life ask again now.
-        if class.paid && self.now < self.unproven {
-            let answer = Answer::Failed { late: false, reason: Reason::Unproven };
-            return self.answer(a.viewer, answer);
+        // Rule 2: it may have run here, in this life or another, or, when the hints say that it plays, at a
+        // front that is gone.
+        let plays = (class.paid && a.underway).then_some(Reason::SetUpBefore);
+        if let Some(reason) = self.lives.bars(self.now, &a.sid, class.paid).or(plays) {
+            return self.answer(a.viewer, Answer::Failed { late: false, reason });
         }
         if self.sessions.len() >= self.settings.sessions.most.count() {
             let after = self.settings.limits.hold_off_ms.get();
@@ -472,7 +447,7 @@
         self.routes.insert(route.clone());
         s.phase = Phase::Playing { attempt, route: route.clone() };
         if s.paid {
-            self.spent.add(digest(&s.sid));
+            self.lives.ran(digest(&s.sid));
         }
         tracing::debug!(session = %s.sid, %attempt, server, rung = s.rung, "plays");
         let waiting = std::mem::take(&mut s.waiting);
@@ -527,7 +502,7 @@
         if !outcome.never_ran() {
             s.ran = Some(end);
             if s.paid {
-                self.spent.add(digest(&s.sid));
+                self.lives.ran(digest(&s.sid));
             }
             // It may hold the session all the same.
             if let Some(address) = self.list.address(server) {
@@ -596,29 +571,15 @@
         self.events.extend(self.learning.listed(self.now, &news).into_iter().map(Event::Heard));
         // Rule 3: a drain that comes between choice and send. What has not been sent is called back; the
         // module is told that it never ran, and picks anew.
-        for held in std::mem::take(&mut self.left_over) {
-            // Whoever held it for the last life lets go of it.
-            match self.list.address(held.server) {
-                Some(address) => {
-                    let (server, sid) = (held.server, Sid::from(held.sid));
-                    self.commands.push(Command::Release { address, server, sid });
-                }
-                None if news.mode != ListMode::Whole => self.left_over.push(held),
-                None => {}
-            }
-        }
-        if news.mode != ListMode::Stale {
-            for e in news.entries.iter().filter(|e| e.state == WireState::Serving) {
-                if self.kept_stopped.remove(&e.id) {
-                    self.commands.push(Command::Keep(Deed::Listed { server: e.id, serves: true }));
-                }
-            }
+        let whole = news.mode == ListMode::Whole;
+        for (address, held) in self.lives.let_go(whole, |server| self.list.address(server)) {
+            let (server, sid) = (held.server, Sid::from(held.sid));
+            self.commands.push(Command::Release { address, server, sid });
         }
+        let deeds = self.lives.listed(&news, &applied.stopped);
+        self.commands.extend(deeds.into_iter().map(Command::Keep));
         for server in applied.stopped {
             tracing::info!(server, "takes no new work");
-            if self.kept_stopped.insert(server) {
-                self.commands.push(Command::Keep(Deed::Listed { server, serves: false }));
-            }
             let low = AttemptId { request: 0, number: 0 };
             let high = AttemptId { request: RequestId::MAX, number: u32::MAX };
             let out: Vec<_> = self.out_at.range((server, low)..=(server, high)).map(|(_, a)| *a).collect();
--- /dev/null
+++ b/crates/session/src/lives.rs
@@ -0,0 +1,105 @@
+//! What this front's lives know of each other: paid sessions that may have run, drains on the paper, what servers
+//! still hold for the last one.
+
+use crate::list::{ListNews, WireState};
+use crate::types::Reason;
+use cloverhollow::{ListMode, ServerId};
+use cloverhollow_recovery::ledger::Held;
+use cloverhollow_recovery::{digest, Deed, Digest, Recovered};
+use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::time::Duration;
+
+/// One front's lives. Paid sessions are bounded by `most`, the oldest forgotten first; the rest by the ledger
+/// that it is read from.
+#[derive(Debug)]
+pub(crate) struct Lives {
+    /// Paid sessions that may have run, in this life or another: none of them is ever set up again here.
+    spent: HashSet<Digest>,
+    order: VecDeque<Digest>,
+    most: usize,
+    /// Until then no paid session can be proven to be new.
+    unproven: Duration,
+    /// Servers of which it is on the paper that they take no new work.
+    stopped: BTreeSet<ServerId>,
+    /// Sessions of the last life that servers may still hold.
+    left_over: Vec<Held>,
+}
+
+impl Lives {
+    pub(crate) fn new(most: usize) -> Self {
+        Lives {
+            spent: HashSet::new(),
+            order: VecDeque::new(),
+            most,
+            unproven: Duration::ZERO,
+            stopped: BTreeSet::new(),
+            left_over: Vec::new(),
+        }
+    }
+
+    /// Takes in what is proven of earlier lives. Where paid sessions may be missing, those of the last life who
+    /// wait for their answer have given up after `longest`, the longest time that one of theirs waits.
+    pub(crate) fn recovered(&mut self, now: Duration, r: &mut Recovered, longest: Duration) {
+        if r.paid_missing() {
+            self.unproven = now + longest;
+        }
+        r.paid.iter().for_each(|sid| self.ran(*sid));
+        self.stopped.clone_from(&r.stopped);
+        self.left_over = std::mem::take(&mut r.held);
+    }
+
+    /// A paid session may have run.
+    pub(crate) fn ran(&mut self, sid: Digest) {
+        if !self.spent.insert(sid) {
+            return;
+        }
+        self.order.push_back(sid);
+        if self.order.len() > self.most {
+            if let Some(oldest) = self.order.pop_front() {
+                self.spent.remove(&oldest);
+            }
+        }
+    }
+
+    /// Why a session cannot be set up, as far as other sessions and lives tell. Rule 2: one of which it is not
+    /// certain that it never ran is not; nor one of which it cannot be told, after a start that proves nothing.
+    pub(crate) fn bars(&self, now: Duration, sid: &str, paid: bool) -> Option<Reason> {
+        if self.spent.contains(&digest(sid)) {
+            return Some(Reason::SetUpBefore);
+        }
+        (paid && now < self.unproven).then_some(Reason::Unproven)
+    }
+
+    /// What is to be taken down of news of the list: the words that later lives need (rule 3).
+    pub(crate) fn listed(&mut self, news: &ListNews, stopped: &BTreeSet<ServerId>) -> Vec<Deed> {
+        let mut deeds = Vec::new();
+        if news.mode != ListMode::Stale {
+            let serving = news.entries.iter().filter(|e| e.state == WireState::Serving);
+            for server in serving.map(|e| e.id) {
+                if self.stopped.remove(&server) {
+                    deeds.push(Deed::Listed { server, serves: true });
+                }
+            }
+        }
+        for server in stopped.iter().copied() {
+            if self.stopped.insert(server) {
+                deeds.push(Deed::Listed { server, serves: false });
+            }
+        }
+        deeds
+    }
+
+    /// Sessions of the last life at servers that `known` has an address of: those let go of them, once. What no
+    /// whole list names is left to its server's idle time.
+    pub(crate) fn let_go<A>(&mut self, whole: bool, known: impl Fn(ServerId) -> Option<A>) -> Vec<(A, Held)> {
+        let mut found = Vec::new();
+        for held in std::mem::take(&mut self.left_over) {
+            match known(held.server) {
+                Some(address) => found.push((address, held)),
+                None if !whole => self.left_over.push(held),
+                None => {}
+            }
+        }
+        found
+    }
+}
