A front that came back doubts servers until the list must have told; failures outlive a death

Beside it: a server that a life saw vanish was taken for warm by the next one. Change: Before tells how late the list may be (discovery.late_ms); until then a returned front gives any server its set-ups as a cold one. Deed Failed: servers that failed and did not work since are told to the module as lost.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -223,6 +223,8 @@
     unproven: Duration,
     /// ...and this front's part of each cold server until this.
     quiet: Duration,
+    /// Until then any server may have started anew while this front was dead.
+    doubt: Duration,
     waiting: Vec<RequestId>,
     read: Vec<ServerId>,
     /// When others' parts were last worked out, and the mean rate of an own session then.
@@ -249,6 +251,7 @@
             extra: VecDeque::new(),
             unproven: Duration::ZERO,
             quiet: Duration::ZERO,
+            doubt: Duration::ZERO,
             waiting: Vec::new(),
             read: Vec::new(),
             looked: None,
@@ -414,6 +417,8 @@
             s.entry = *e;
             if restarted {
                 self.started(e.server, e.started);
+            } else if self.now < self.doubt && s.turn.is_zero() {
+                self.draw_turn(e.server);
             }
         }
         self.size_links();
@@ -514,8 +519,9 @@
     }
 
     /// Guards a front that dies and comes back against spending anew what its last life spent (rules 4 and 6):
-    /// what cannot be proven otherwise counts as spent for one span. May hurt: it refuses after one attempt
-    /// that long, and a cold server gets nothing of it for one window.
+    /// what cannot be proven otherwise counts as spent for one span. And against servers that started anew
+    /// while it was dead, of which its list is yet to tell: each gets its set-ups as a cold one would. May
+    /// hurt: it refuses after one attempt that long, and what comes in a rush after a return.
     fn before(&mut self, before: &Before) {
         let now = self.now;
         if let Some(r) = self.set.rules.ration {
@@ -526,6 +532,7 @@
         }
         let left = |ran: Duration| self.set.rules.fall_span.saturating_sub(ran);
         self.quiet = now + before.ran.map_or(Duration::ZERO, left);
+        self.doubt = now + before.late.min(self.set.rules.cold);
     }
 
     fn failed(&mut self, server: ServerId, lost: bool, why: &str) {
@@ -575,7 +582,7 @@
             && self.holds(call, s)
             && s.rest_until <= self.now
             && (s.fails == 0 || (!s.trial && !class.at_most_once))
-            && (!self.is_cold(s) || s.turn <= self.now)
+            && ((!self.is_cold(s) && self.doubt <= self.now) || s.turn <= self.now)
     }
 
     /// The holder with the most room on link and uplink, and the highest rung that fits there.
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -268,6 +268,8 @@
     pub known: Duration,
     /// How long ago they may last have sent a set-up; `None`: never.
     pub ran: Option<Duration>,
+    /// For so long the list may not tell yet of servers that started anew between two lives.
+    pub late: Duration,
 }
 
 /// What happens to a front. All events of one instant go into one call, in order of arrival.
--- a/crates/record/src/forms.rs
+++ b/crates/record/src/forms.rs
@@ -99,6 +99,7 @@
     further: Vec<Duration>,
     known: Duration,
     ran: Option<Duration>,
+    late: Duration,
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/recovery/src/deed.rs
+++ b/crates/recovery/src/deed.rs
@@ -68,6 +68,14 @@
         /// Whether it takes new work.
         serves: bool,
     },
+    /// An attempt at a server ended as one does whose process is gone, or one worked again after that (rule 4: it
+    /// is cold when it is back).
+    Failed {
+        /// Which server.
+        server: u64,
+        /// Whether the last word is that it failed.
+        failed: bool,
+    },
     /// A life ends in order.
     Ended,
     /// All that the deeds before came to: the first of a file that was written anew.
--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -11,7 +11,7 @@
     pub paid: usize,
     /// Further attempts. Past them the ledger no longer knows as far back as it did, and says so.
     pub further: usize,
-    /// Servers that take no new work.
+    /// Servers that take no new work, and servers that failed.
     pub stopped: usize,
     /// Sessions that a server may still hold.
     pub held: usize,
@@ -57,6 +57,7 @@
     /// All further attempts after this are in `further`; `None`: all that there ever were.
     known_from: Option<Stamp>,
     stopped: BTreeSet<u64>,
+    failed: BTreeSet<u64>,
     held: VecDeque<Held>,
     starts: VecDeque<Start>,
     last: Option<Stamp>,
@@ -110,6 +111,14 @@
                     self.stopped.insert(*server);
                 }
             }
+            Deed::Failed { server, failed: false } => {
+                self.failed.remove(server);
+            }
+            Deed::Failed { server, failed: true } => {
+                if self.failed.len() < bounds.stopped {
+                    self.failed.insert(*server);
+                }
+            }
             Deed::Ended => {
                 self.held.clear();
                 if let Some(start) = self.starts.back_mut() {
@@ -160,6 +169,11 @@
         &self.stopped
     }
 
+    /// Servers that failed, and did not work since.
+    pub fn failed(&self) -> &BTreeSet<u64> {
+        &self.failed
+    }
+
     /// Paid sessions that servers may hold for this front's last life.
     pub fn held(&self) -> impl Iterator<Item = &Held> {
         self.held.iter()
--- a/crates/recovery/src/recover.rs
+++ b/crates/recovery/src/recover.rs
@@ -86,6 +86,8 @@
     pub ran: bool,
     /// Servers that take no new work.
     pub stopped: BTreeSet<u64>,
+    /// Servers that failed, and did not work since.
+    pub failed: BTreeSet<u64>,
     /// Paid sessions that servers may hold for the last life.
     pub held: Vec<Held>,
 }
@@ -100,6 +102,7 @@
             known: Duration::ZERO,
             ran: true,
             stopped: BTreeSet::new(),
+            failed: BTreeSet::new(),
             held: Vec::new(),
         }
     }
@@ -129,6 +132,7 @@
         },
         ran: trust != Trust::First,
         stopped: ledger.stopped().clone(),
+        failed: ledger.failed().clone(),
         held: ledger.held().cloned().collect(),
     };
     (ledger, recovered)
--- a/crates/recovery/tests/recovery.rs
+++ b/crates/recovery/tests/recovery.rs
@@ -161,6 +161,7 @@
             .prop_map(|(s, paid, further)| out(&format!("s{s}"), paid, further)),
         2 => sid.clone().prop_map(|s| Deed::Unrun { sid: digest(&format!("s{s}")) }),
         2 => (0..5u64, any::<bool>()).prop_map(|(server, serves)| Deed::Listed { server, serves }),
+        2 => (0..5u64, any::<bool>()).prop_map(|(server, failed)| Deed::Failed { server, failed }),
         1 => Just(Deed::Ended),
     ]
 }
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -262,7 +262,8 @@
         self.lives.recovered(self.now, &mut r, waits.max().unwrap_or_default());
         self.list.stopped_before(r.stopped);
         let ran = r.ran.then_some(Duration::ZERO);
-        self.events.push(Event::Before(Before { further: r.further, known: r.known, ran }));
+        let late = if r.ran { self.settings.discovery.late_ms.get() } else { Duration::ZERO };
+        self.events.push(Event::Before(Before { further: r.further, known: r.known, ran, late }));
     }
 
     // ---- Viewers ----
@@ -431,6 +432,7 @@
         self.out_at.remove(&(server, attempt));
         count(&self.stats.playing);
         self.learning.behaved(self.now, server, true, false);
+        self.commands.extend(self.lives.behaved(server, true).map(Command::Keep));
         let request = attempt.request;
         self.events.push(Event::Playing(request, attempt.number, server, self.now.saturating_sub(since)));
         let route = Arc::new(Route {
@@ -490,6 +492,7 @@
             Outcome::Error => self.learning.behaved(self.now, server, false, false),
             Outcome::ConnectFailed | Outcome::Reset | Outcome::Timeout => {
                 self.learning.behaved(self.now, server, false, outcome != Outcome::Timeout);
+                self.commands.extend(self.lives.behaved(server, false).map(Command::Keep));
             }
             _ => {}
         }
@@ -543,6 +546,7 @@
         let (address, server) = (route.address, route.server);
         if why == OverWhy::Lost {
             self.learning.behaved(self.now, server, false, true);
+            self.commands.extend(self.lives.behaved(server, false).map(Command::Keep));
         }
         self.commands.push(Command::Release { address, server, sid: s.sid.clone() });
         self.events.push(Event::Ended(request, attempt.number, server, outcome, true, Report::default()));
@@ -571,6 +575,8 @@
         self.events.extend(self.learning.listed(self.now, &news).into_iter().map(Event::Heard));
         // Rule 3: a drain that comes between choice and send. What has not been sent is called back; the
         // module is told that it never ran, and picks anew.
+        let failed = self.lives.remembers(|server| self.list.address(server).is_some());
+        self.events.extend(failed.into_iter().map(Event::Heard));
         let whole = news.mode == ListMode::Whole;
         for (address, held) in self.lives.let_go(whole, |server| self.list.address(server)) {
             let (server, sid) = (held.server, Sid::from(held.sid));
--- a/crates/session/src/lives.rs
+++ b/crates/session/src/lives.rs
@@ -3,7 +3,7 @@
 
 use crate::list::{ListNews, WireState};
 use crate::types::Reason;
-use cloverhollow::{ListMode, ServerId};
+use cloverhollow::{Heard, ListMode, ServerId};
 use cloverhollow_recovery::ledger::Held;
 use cloverhollow_recovery::{digest, Deed, Digest, Recovered};
 use std::collections::{BTreeSet, HashSet, VecDeque};
@@ -21,6 +21,10 @@
     unproven: Duration,
     /// Servers of which it is on the paper that they take no new work.
     stopped: BTreeSet<ServerId>,
+    /// Servers of which it is on the paper that they failed.
+    failed: BTreeSet<ServerId>,
+    /// Those of them that the module is still to be told of.
+    untold: BTreeSet<ServerId>,
     /// Sessions of the last life that servers may still hold.
     left_over: Vec<Held>,
 }
@@ -33,6 +37,8 @@
             most,
             unproven: Duration::ZERO,
             stopped: BTreeSet::new(),
+            failed: BTreeSet::new(),
+            untold: BTreeSet::new(),
             left_over: Vec::new(),
         }
     }
@@ -45,6 +51,8 @@
         }
         r.paid.iter().for_each(|sid| self.ran(*sid));
         self.stopped.clone_from(&r.stopped);
+        self.failed.clone_from(&r.failed);
+        self.untold.clone_from(&r.failed);
         self.left_over = std::mem::take(&mut r.held);
     }
 
@@ -89,6 +97,22 @@
         deeds
     }
 
+    /// How an attempt at a server ended, or a session there: what is to be taken down of it.
+    pub(crate) fn behaved(&mut self, server: ServerId, worked: bool) -> Option<Deed> {
+        let changed = if worked { self.failed.remove(&server) } else { self.failed.insert(server) };
+        changed.then_some(Deed::Failed { server, failed: !worked })
+    }
+
+    /// Failures of earlier lives, once their server is known. Guards a front that dies and comes back against
+    /// taking a server for warm that its last life saw vanish: it may be back, cold (rule 4).
+    pub(crate) fn remembers(&mut self, known: impl Fn(ServerId) -> bool) -> Vec<Heard> {
+        let told: Vec<_> = self.untold.iter().copied().filter(|s| known(*s)).collect();
+        self.untold.retain(|s| !told.contains(s));
+        told.into_iter()
+            .map(|server| Heard { server, failed: true, lost: true, ..Heard::default() })
+            .collect()
+    }
+
     /// Sessions of the last life at servers that `known` has an address of: those let go of them, once. What no
     /// whole list names is left to its server's idle time.
     pub(crate) fn let_go<A>(&mut self, whole: bool, known: impl Fn(ServerId) -> Option<A>) -> Vec<(A, Held)> {
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -134,6 +134,9 @@
     pub again_ms: Ms<10, MINUTE>,
     /// Longest such wait; 10 ms to an hour. Default 5 s.
     pub again_most_ms: Ms<10, HOUR>,
+    /// How late the list may tell of a server's start: for so long a front that came back takes any server for
+    /// one that may be cold; 0 to a minute. Default 5 s.
+    pub late_ms: Ms<0, MINUTE>,
 }
 
 impl Default for Discovery {
@@ -144,6 +147,7 @@
             silent_ms: Ms::of(15_000),
             again_ms: Ms::of(200),
             again_most_ms: Ms::of(5_000),
+            late_ms: Ms::of(5_000),
         }
     }
 }
