--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -3,7 +3,24 @@
 mod common;
 
 use common::*;
-use std::sync::mpsc::channel;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver};
+
+/// A life that has a list.
+fn ready(config: &Path) -> (Life, SocketAddr, SocketAddr) {
+    let (child, address, side) = front(config);
+    until_ready(side);
+    (child, address, side)
+}
+
+/// A folder, a server and discovery, and the settings of a front of them.
+fn site(name: &str, more: &str) -> (PathBuf, Receiver<Saw>, PathBuf) {
+    let dir = folder(name);
+    let (tx, saw) = channel();
+    let config = settings(&dir, discovery(server(tx)), more);
+    (dir, saw, config)
+}
 
 fn kill(mut child: Life) {
     child.kill().unwrap();
@@ -14,18 +31,14 @@
 
 #[test]
 fn a_paid_set_up_that_may_have_run_is_not_sent_again_by_the_next_life_that_is_asked_as_at_its_start() {
-    let dir = folder("paid-life");
-    let (tx, saw) = channel();
-    let config = settings(&dir, discovery(server(tx)), "");
-    let (child, address, side) = front(&config);
-    until_ready(side);
+    let (_dir, saw, config) = site("paid-life", "");
+    let (child, address, _) = ready(&config);
     let _viewer = ask(address, "/club/paid/t/0", AT_START);
     assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Setup("one".into()));
     kill(child);
     assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Closed);
     for life in 0..2 {
-        let (child, address, side) = front(&config);
-        until_ready(side);
+        let (child, address, _) = ready(&config);
         let again = whole(ask(address, "/club/paid/t/0", AT_START));
         assert!(again.starts_with("HTTP/1.1 502") && again.contains("set-up-before"), "life {life}: {again}");
         let other = AT_START.replace("one", &format!("new-{life}"));
@@ -55,15 +68,11 @@
         }),
     ];
     for (name, spoil) in ways {
-        let dir = folder(&format!("spoilt-{name}"));
-        let (tx, _saw) = channel();
-        let config = settings(&dir, discovery(server(tx)), "");
-        let (child, _, side) = front(&config);
-        until_ready(side);
+        let (dir, _saw, config) = site(&format!("spoilt-{name}"), "");
+        let (child, _, _) = ready(&config);
         kill(child);
         spoil(&dir.join("front.keep.deeds"));
-        let (child, address, side) = front(&config);
-        until_ready(side);
+        let (child, address, side) = ready(&config);
         let paid = whole(ask(address, "/club/paid/t/0", AT_START));
         assert!(paid.starts_with("HTTP/1.1 502") && paid.contains("unproven"), "{name}: {paid}");
         let health = whole(ask(side, "/health", ""));
@@ -74,11 +83,8 @@
 
 #[test]
 fn a_second_process_of_one_front_does_not_start_and_the_first_goes_on() {
-    let dir = folder("twice");
-    let (tx, saw) = channel();
-    let config = settings(&dir, discovery(server(tx)), "");
-    let (child, address, side) = front(&config);
-    until_ready(side);
+    let (_dir, saw, config) = site("twice", "");
+    let (child, address, _) = ready(&config);
     let out = std::process::Command::new(env!("CARGO_BIN_EXE_cloverhollow"))
         .args(["serve", "--config"])
         .arg(&config)
@@ -91,8 +97,7 @@
     let _viewer = ask(address, "/club/paid/t/0", AT_START);
     assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Setup("one".into()));
     kill(child);
-    let (child, address, side) = front(&config);
-    until_ready(side);
+    let (child, address, _) = ready(&config);
     let again = whole(ask(address, "/club/paid/t/0", AT_START));
     assert!(again.contains("set-up-before"), "{again}");
     kill(child);
@@ -106,8 +111,7 @@
     let more = ", restarts: {window_ms: 3600000, free: 2, first_ms: 60000, most_ms: 60000}";
     let config = settings(&dir, discovery(server(tx)), more);
     for _ in 0..3 {
-        let (child, _, side) = front(&config);
-        until_ready(side);
+        let (child, _, _) = ready(&config);
         kill(child);
     }
     let (child, address, side) = front(&config);
@@ -124,13 +128,10 @@
 
 #[test]
 fn a_front_that_is_stopped_in_order_never_backs_off() {
-    let dir = folder("in-order");
-    let (tx, _saw) = channel();
     let more = ", restarts: {window_ms: 3600000, free: 0, first_ms: 60000, most_ms: 60000}";
-    let config = settings(&dir, discovery(server(tx)), more);
+    let (_dir, _saw, config) = site("in-order", more);
     for _ in 0..4 {
-        let (mut child, _, side) = front(&config);
-        until_ready(side);
+        let (mut child, _, _) = ready(&config);
         let pid = child.id().to_string();
         let asked = std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap();
         assert!(asked.success() && child.wait().unwrap().success());
@@ -139,9 +140,7 @@
 
 #[test]
 fn on_a_full_disk_no_paid_set_up_goes_out_and_viewers_and_operators_are_told() {
-    let dir = folder("full");
-    let (tx, saw) = channel();
-    let config = settings(&dir, discovery(server(tx)), "");
+    let (_dir, saw, config) = site("full", "");
     let (child, address, side) = front_without_room(&config);
     let health = loop {
         let health = whole(ask(side, "/health", ""));
@@ -158,11 +157,8 @@
 
 #[test]
 fn a_death_during_the_warm_start_loses_nothing_of_the_life_before() {
-    let dir = folder("warming");
-    let (tx, saw) = channel();
-    let config = settings(&dir, discovery(server(tx)), "");
-    let (child, address, side) = front(&config);
-    until_ready(side);
+    let (_dir, saw, config) = site("warming", "");
+    let (child, address, _) = ready(&config);
     let _viewer = ask(address, "/club/paid/t/0", AT_START);
     assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Setup("one".into()));
     kill(child);
@@ -179,8 +175,7 @@
     assert!(whole(ask(side, "/health", "")).contains("\"level\":\"warming\""));
     kill(child);
     std::fs::write(&config, text).unwrap();
-    let (child, address, side) = front(&config);
-    until_ready(side);
+    let (child, address, _) = ready(&config);
     let again = whole(ask(address, "/club/paid/t/0", AT_START));
     assert!(again.starts_with("HTTP/1.1 502") && again.contains("set-up-before"), "{again}");
     kill(child);
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -15,7 +15,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::hint::black_box;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::Arc;
@@ -165,7 +165,7 @@
         for old in [file.clone(), dir.join("bench.keep.deeds")] {
             let _ = std::fs::remove_file(old);
         }
-        let discovery = Discovery::start(Arc::new(Log::begin())).await?;
+        let discovery = Discovery::start(Arc::new(Log::begin()), Ipv4Addr::LOCALHOST).await?;
         for (i, address) in all.iter().enumerate() {
             let entry = ServerEntry {
                 id: i as u64 + 1,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -15,6 +15,7 @@
 use cloverhollow_session::WireState;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -39,6 +40,8 @@
     pub record: bool,
     /// What fronts know that come back.
     pub mode: StartMode,
+    /// The loopback address that all of it listens at.
+    pub host: Ipv4Addr,
 }
 
 /// Why a day could not be played.
@@ -114,13 +117,14 @@
     let world = Arc::new(World {
         fleet: Mutex::new(fleet),
         log: log.clone(),
+        host: options.host,
         site,
         idle: SERVER_IDLE,
         object: script.viewers.object_ms.get(),
         bytes_per_kb: script.fleet.bytes_per_kb.get(),
         vary: script.fleet.vary.get(),
     });
-    let discovery = Discovery::start(log.clone()).await.map_err(DayError::StandIn)?;
+    let discovery = Discovery::start(log.clone(), options.host).await.map_err(DayError::StandIn)?;
     let servers = start_servers(&world, &discovery).await.map_err(DayError::StandIn)?;
     let command = FrontCommand {
         exe: options.exe.clone(),
@@ -132,6 +136,7 @@
         seed: script.seed.get(),
         record: options.record,
         mode: options.mode,
+        host: options.host,
     };
     let fronts = Arc::new(Fronts::new(command, log.clone()));
     for front in 0..fronts.count() {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -134,6 +134,7 @@
         dir: dir.join(name),
         record: false,
         mode,
+        host: std::net::Ipv4Addr::LOCALHOST,
     };
     let undisturbed = play(&calm, &options(StartMode::LastList, "undisturbed")).await?;
     let reference = smooth(&undisturbed.score.seconds);
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -5,7 +5,7 @@
 use rand::seq::SliceRandom;
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -76,6 +76,8 @@
     pub record: bool,
     /// What those know that come back.
     pub mode: StartMode,
+    /// Where they listen.
+    pub host: Ipv4Addr,
 }
 
 struct Slot {
@@ -122,8 +124,9 @@
         let seed = 1 + (c.seed + front as u64 * 7_919 + starts * 104_729) % 1_000_000_007;
         s["instance"] =
             serde_json::json!({ "name": format!("front-{front}"), "fronts": c.fronts, "seed": seed });
-        s["listen"]["address"] = "127.0.0.1:0".into();
-        s["side"] = serde_json::json!({ "address": "127.0.0.1:0" });
+        let any = SocketAddr::from((c.host, 0)).to_string();
+        s["listen"]["address"] = any.as_str().into();
+        s["side"] = serde_json::json!({ "address": any });
         s["discovery"]["address"] = c.discovery.to_string().into();
         let file = c.dir.join(format!("front-{front}.keep"));
         if c.mode == StartMode::Cold {
--- a/crates/lab/src/hunt/mod.rs
+++ b/crates/lab/src/hunt/mod.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -141,6 +142,7 @@
         std::fs::write(&script, draw::yaml(day)).map_err(io(&script))?;
         let mut command = tokio::process::Command::new(&self.exe);
         command.arg("day").arg(&script).args(["--policy", &self.policy, "--json", "--log-level", "error"]);
+        command.arg("--host").arg(host(day).to_string());
         command.arg("--dir").arg(dir).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
         command.process_group(0);
         let child = command.spawn().map_err(io(&self.exe))?;
@@ -160,6 +162,13 @@
     }
 }
 
+/// A loopback address for a day alone, by its seed: of days that run side by side no two have the same.
+fn host(day: &Value) -> Ipv4Addr {
+    let n = day["seed"].as_u64().unwrap_or(0) % (250 * 250 * 250);
+    let part = |by: u64| (n / by % 250) as u8 + 1;
+    Ipv4Addr::new(127, part(250 * 250), part(250), part(1))
+}
+
 /// The day's processes; ended with this.
 struct Group(Option<Pid>);
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,7 @@
 use cloverhollow_lab::report;
 use cloverhollow_lab::script::Day;
 use cloverhollow_settings::SettingsError;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -47,6 +48,9 @@
         /// Has the fronts record each step.
         #[arg(long)]
         record: bool,
+        /// The loopback address (127.0.0.0/8) that all of it listens at.
+        #[arg(long, default_value = "127.0.0.1", value_parser = loopback)]
+        host: Ipv4Addr,
         #[command(flatten)]
         logs: Logs,
     },
@@ -233,15 +237,21 @@
             runtime.block_on(measure(Duration::from_secs(seconds), sessions, rate))?;
             Ok(ExitCode::SUCCESS)
         }
-        Command::Day { script, policy, seed, json, exchanges, dir, record, logs } => {
+        Command::Day { script, policy, seed, json, exchanges, dir, record, host, logs } => {
             logs.start();
             let mut day = Day::load(&script)?;
             if let Some(seed) = seed {
                 day.script.seed = seed.into();
             }
             let dir = dir.unwrap_or_else(|| temporary("day"));
-            let options =
-                Options { exe: std::env::current_exe()?, policy, dir, record, mode: StartMode::LastList };
+            let options = Options {
+                exe: std::env::current_exe()?,
+                policy,
+                dir,
+                record,
+                mode: StartMode::LastList,
+                host,
+            };
             let outcome = runtime.block_on(play(&day, &options))?;
             if let Some(path) = exchanges {
                 write_lines(&path, &outcome.exchanges)?;
@@ -256,6 +266,11 @@
     }
 }
 
+fn loopback(text: &str) -> Result<Ipv4Addr, String> {
+    let host: Ipv4Addr = text.parse().map_err(|_| format!("`{text}` is no IPv4 address"))?;
+    host.is_loopback().then_some(host).ok_or(format!("`{text}` is not in 127.0.0.0/8"))
+}
+
 fn temporary(what: &str) -> PathBuf {
     std::env::temp_dir().join(format!("cloverhollow-{what}-{}", std::process::id()))
 }
--- a/crates/lab/src/standin/discovery.rs
+++ b/crates/lab/src/standin/discovery.rs
@@ -8,7 +8,7 @@
 use cloverhollow_session::{ListMessage, MessageKind, ServerEntry, WireState};
 use futures_util::{SinkExt, StreamExt};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -59,8 +59,8 @@
     ///
     /// # Errors
     /// It cannot listen.
-    pub async fn start(log: Arc<Log>) -> std::io::Result<Arc<Discovery>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    pub async fn start(log: Arc<Log>, host: Ipv4Addr) -> std::io::Result<Arc<Discovery>> {
+        let listener = TcpListener::bind((host, 0)).await?;
         let d = Arc::new(Discovery {
             address: listener.local_addr()?,
             state: Mutex::new(State { version: 1, servers: BTreeMap::new(), skip: 0 }),
--- a/crates/lab/src/standin/server.rs
+++ b/crates/lab/src/standin/server.rs
@@ -12,7 +12,7 @@
 use cloverhollow_session::arrival::over;
 use cloverhollow_settings::FrontSettings;
 use futures_util::StreamExt;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -27,6 +27,9 @@
     pub fleet: Mutex<Fleet>,
     /// What passes.
     pub log: Arc<Log>,
+    /// The loopback address that all of the day listens at. Days that run side by side have each their own: the
+    /// port of a process that is down may be another day's next.
+    pub host: Ipv4Addr,
     /// The site, as the fronts know it too: classes, pattern of paths.
     pub site: Arc<FrontSettings>,
     /// Sessions not heard of for so long are let go.
@@ -101,7 +104,7 @@
     /// # Errors
     /// It cannot listen.
     pub async fn start(id: u64, world: Arc<World>) -> std::io::Result<ServerHandle> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind((world.host, 0)).await?;
         let (address_tx, address) = watch::channel(listener.local_addr()?);
         let (mode, mode_rx) = watch::channel(Mode::Up);
         let faults = Arc::new(Faults::default());
@@ -372,7 +375,7 @@
 async fn bind_again(address: &watch::Sender<SocketAddr>) -> TcpListener {
     let old = *address.borrow();
     loop {
-        for wanted in [old, SocketAddr::from(([127, 0, 0, 1], 0))] {
+        for wanted in [old, SocketAddr::new(old.ip(), 0)] {
             let Ok(listener) = TcpListener::bind(wanted).await else { continue };
             let Ok(local) = listener.local_addr() else { continue };
             address.send_replace(local);
@@ -398,6 +401,7 @@
         let world = World {
             fleet: Mutex::new(plan::fleet(&script)),
             log: Arc::new(Log::begin()),
+            host: Ipv4Addr::LOCALHOST,
             site: Arc::new(script.front.clone()),
             idle: Duration::from_secs(60),
             object: Duration::from_secs(1),
--- a/crates/moves/tests/model.rs
+++ b/crates/moves/tests/model.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// What is owed is said again, and all that was ever sent arrives once more.
+    fn all_arrives(&mut self) {
+        self.feed(Input::SayAgain);
+        for word in self.words.clone() {
+            self.arrives(word, true);
+        }
+        for (from, answer) in self.answers.clone() {
+            self.feed(Input::Answered { from, answer });
+        }
+    }
+
     /// The network mends and nothing new happens: every death is heard, what is owed is said again and arrives,
     /// what is not answered times out.
     fn settle(mut self) -> State {
@@ -97,26 +108,14 @@
             self.feed(Input::Died { place });
         }
         for _ in 0..12 {
-            self.feed(Input::SayAgain);
-            for word in self.words.clone() {
-                self.arrives(word, true);
-            }
-            for (from, answer) in self.answers.clone() {
-                self.feed(Input::Answered { from, answer });
-            }
+            self.all_arrives();
             self.feed(Input::Boundary);
         }
         if let Some(epoch) = self.step_of() {
             self.feed(Input::TimedOut { epoch });
         }
         for _ in 0..4 {
-            self.feed(Input::SayAgain);
-            for word in self.words.clone() {
-                self.arrives(word, true);
-            }
-            for (from, answer) in self.answers.clone() {
-                self.feed(Input::Answered { from, answer });
-            }
+            self.all_arrives();
         }
         self
     }
