A doubted server gets the first set-up at once where a front's part is a whole one

Cause: a front that came back refused every viewer for a window and more where it has one server: the quiet after a death was asked of servers that are only doubted, which the dead life cannot have overspent. Change: a doubted server's turn falls at random only where the part is under one set-up a window.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -418,7 +418,10 @@
             if restarted {
                 self.started(e.server, e.started);
             } else if self.now < self.doubt && s.turn.is_zero() {
-                self.draw_turn(e.server);
+                // Where each front's part is a whole set-up a window, the first may go at once.
+                let (chance, gap) = (self.rng.f64(), self.cold_gap(&self.servers[&e.server]));
+                let wait = if gap > self.set.rules.fall_span { gap.mul_f64(chance) } else { Duration::ZERO };
+                self.servers.get_mut(&e.server).expect("listed above").turn = self.now + wait;
             }
         }
         self.size_links();
