Two requests of a session sent together: one may be refused before the other plays

Change: the checker takes such a refusal for true when it was given, if the other request came to play; if that one failed it is a breach as before.

--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -130,3 +130,19 @@
     all.extend(further(700, "d"));
     assert_eq!(broken(6, all), 1, "a third one, of the next life");
 }
+
+#[test]
+fn rule_2_of_two_requests_sent_together_one_may_be_refused_if_the_other_plays() {
+    let got = |status, reason: &str| Got::Status { status, reason: Some(reason.into()) };
+    let day = |other: u16| {
+        vec![
+            called(100, 1, "a"),
+            called(101, 2, "a"),
+            setup(103, 1, "a"),
+            ended(104, 1, "a", got(503, "no-room")),
+            ended(115, 2, "a", got(other, "")),
+        ]
+    };
+    assert_eq!(broken(2, day(200)), 0);
+    assert_eq!(broken(2, day(502)), 1, "it ran, nobody plays it, and one was told that it did not");
+}
