--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -12,7 +12,7 @@
 use crate::types::*;
 use cloverhollow::{Action, Before, Call, Event, ListMode, Note, Outcome, Report, RequestId, ServerId};
 use cloverhollow_hints::{Contradiction, Contradictions};
-use cloverhollow_recovery::{digest, Deed, Recovered};
+use cloverhollow_recovery::{digest, Deed, Recovered, Trust};
 use cloverhollow_settings::FrontSettings;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU32, AtomicU64};
@@ -262,7 +262,9 @@
         self.lives.recovered(self.now, &mut r, waits.max().unwrap_or_default());
         self.list.stopped_before(r.stopped);
         let ran = r.ran.then_some(Duration::ZERO);
-        let late = if r.ran { self.settings.discovery.late_ms.get() } else { Duration::ZERO };
+        // A front that keeps nothing has no list but what discovery tells it from now on.
+        let doubts = !matches!(r.trust, Trust::First | Trust::Unkept);
+        let late = if doubts { self.settings.discovery.late_ms.get() } else { Duration::ZERO };
         self.events.push(Event::Before(Before { further: r.further, known: r.known, ran, late }));
     }
 
--- a/crates/session/tests/lives.rs
+++ b/crates/session/tests/lives.rs
@@ -169,9 +169,9 @@
     let sent_at_once = |deeds: &[Deed]| {
         let mut core = common::core();
         core.step(DAY, [Input::Recovered(Box::new(next_life(deeds, 50))), serving(1)]);
-        // Past the rest after a failure and the first window: what remains is that it may be cold.
+        // Past the rest after a failure and the doubt after a return: what remains is that it may be cold.
         let calls = (1..9).map(|v| call(v, &format!("s{v}"), "clip"));
-        let commands = core.step(DAY + ms(2_500), calls);
+        let commands = core.step(DAY + ms(6_000), calls);
         commands.iter().filter(|c| matches!(c, Command::Send(_))).count()
     };
     assert_eq!(sent_at_once(&[]), 8);
