Reread: what follows is derived; a stale list is read by the lives, not by the list

Cause: found on rereading: a set of drains kept twice, a flag that the trust already says, a boot looked for that the ledger holds, a session's id copied for each attempt though most have no deed, two passes over each step's inputs. Change: each once. Behaviour as before.

--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -131,9 +131,11 @@
     /// One instant: steps until what the shell answers at once (recalls) is used up.
     fn step(&mut self, mut inputs: Inputs) {
         loop {
-            let listed = inputs.iter().any(|i| matches!(i, Input::List(_)));
-            let fresh = |i: &Input<_, _>| matches!(i, Input::List(n) if n.mode == ListMode::Whole);
-            let told = inputs.iter().any(fresh);
+            let lists = inputs.iter().filter_map(|i| match i {
+                Input::List(news) => Some(news.mode == ListMode::Whole),
+                _ => None,
+            });
+            let (listed, told) = lists.fold((false, false), |(_, told), whole| (true, told | whole));
             let commands = self.core.step(self.shared.clock.now(), inputs);
             if listed {
                 // Without a store nobody listens, and nothing is copied.
@@ -165,9 +167,9 @@
 
     fn carry_out(&mut self, command: Command<Arc<Ask>, SetupAnswer>) -> Option<Input<Arc<Ask>, SetupAnswer>> {
         match command {
-            Command::Send(setup) => {
+            Command::Send(mut setup) => {
                 let attempt = setup.attempt;
-                let ticket = setup.deed.clone().map_or(Ticket::Free, |deed| self.shared.journal.ask(deed));
+                let ticket = setup.deed.take().map_or(Ticket::Free, |deed| self.shared.journal.ask(deed));
                 self.held.insert(attempt, attempt::spawn(setup, ticket, self.shared.clone()));
                 None
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -174,7 +174,7 @@
             let wait = async {
                 state.not_warming().await;
                 // Drains that the last life heard may be lost: the list is waited for.
-                if matches!(proven, Trust::Unproven(_) | Trust::Rebooted) {
+                if proven.misses() {
                     state.told().await;
                 }
             };
--- a/crates/recovery/src/recover.rs
+++ b/crates/recovery/src/recover.rs
@@ -1,6 +1,6 @@
 //! What of a file that is found at a start can be believed.
 
-use crate::deed::{Boot, Deed, Digest, Stamp};
+use crate::deed::{Boot, Digest, Stamp};
 use crate::frame;
 use crate::ledger::{Bounds, Held, Ledger};
 use std::collections::BTreeSet;
@@ -59,6 +59,11 @@
 }
 
 impl Trust {
+    /// Whether deeds of the last life may be missing though they should be known.
+    pub fn misses(&self) -> bool {
+        matches!(self, Trust::Rebooted | Trust::Unproven(_))
+    }
+
     /// In words, for operators.
     pub fn words(&self) -> String {
         match self {
@@ -82,8 +87,6 @@
     pub further: Vec<Duration>,
     /// For so long back those are all.
     pub known: Duration,
-    /// Whether there was any life before.
-    pub ran: bool,
     /// Servers that take no new work.
     pub stopped: BTreeSet<u64>,
     /// Servers that failed, and did not work since.
@@ -100,17 +103,11 @@
             paid: Vec::new(),
             further: Vec::new(),
             known: Duration::ZERO,
-            ran: true,
             stopped: BTreeSet::new(),
             failed: BTreeSet::new(),
             held: Vec::new(),
         }
     }
-
-    /// Whether paid sessions of the last life may be missing though they should be known.
-    pub fn paid_missing(&self) -> bool {
-        matches!(self.trust, Trust::Rebooted | Trust::Unproven(_))
-    }
 }
 
 /// Reads what is found. Gives the ledger to go on with, before this life's own [`Deed::Began`].
@@ -130,7 +127,6 @@
             Trust::Proven => ledger.known_from().map_or(Duration::MAX, age),
             Trust::Rebooted | Trust::Unproven(_) | Trust::Unkept => Duration::ZERO,
         },
-        ran: trust != Trust::First,
         stopped: ledger.stopped().clone(),
         failed: ledger.failed().clone(),
         held: ledger.held().cloned().collect(),
@@ -144,14 +140,10 @@
     };
     let read = frame::read(bytes)?;
     let mut ledger = Ledger::default();
-    let mut in_boot = None;
     for (at, deed) in &read.deeds {
         ledger.apply(*at, deed, bounds);
-        if let Deed::Began { boot } = deed {
-            in_boot = Some(*boot);
-        }
     }
-    let in_boot = in_boot.or(ledger.starts().next_back().map(|s| s.boot));
+    let in_boot = ledger.starts().next_back().map(|s| s.boot);
     let (Some(in_boot), Some(last)) = (in_boot, ledger.last()) else { return Err(Why::Empty) };
     let by_ms = found.changed_ms.abs_diff(last.wall_ms);
     if by_ms > STRAYED {
--- a/crates/recovery/tests/recovery.rs
+++ b/crates/recovery/tests/recovery.rs
@@ -47,7 +47,7 @@
     assert_eq!(r.trust, Trust::Proven);
     assert_eq!(r.paid, [digest("c")], "a is proven never to have run");
     assert_eq!(r.further, [Duration::from_millis(2_800), Duration::from_millis(2_700)]);
-    assert_eq!((r.known, r.ran), (Duration::MAX, true));
+    assert_eq!(r.known, Duration::MAX);
     assert_eq!(r.stopped.into_iter().collect::<Vec<_>>(), [9]);
     assert_eq!(r.held.iter().map(|h| h.sid.as_str()).collect::<Vec<_>>(), ["c"]);
     // Written anew in one frame it says the same.
@@ -60,7 +60,7 @@
 fn a_first_life_and_one_whose_file_is_gone_are_told_apart() {
     let none = |ran_before| Found { bytes: None, changed_ms: 0, ran_before };
     let (_, first) = recover(none(false), BOOT, at(5), &Bounds::default());
-    assert_eq!((first.trust, first.known, first.ran), (Trust::First, Duration::MAX, false));
+    assert_eq!((first.trust, first.known), (Trust::First, Duration::MAX));
     let (ledger, gone) = recover(none(true), BOOT, at(5), &Bounds::default());
     assert_eq!((gone.trust, gone.known), (Trust::Unproven(Why::Gone), Duration::ZERO));
     // And the life after that one knows from there on only.
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -260,8 +260,7 @@
         tracing::info!(proven = r.trust.words(), paid, stopped, "this front ran before");
         let waits = self.settings.classes.0.iter().filter(|c| c.paid).map(|c| c.deadline_ms.get());
         self.lives.recovered(self.now, &mut r, waits.max().unwrap_or_default());
-        self.list.stopped_before(r.stopped);
-        let ran = r.ran.then_some(Duration::ZERO);
+        let ran = (r.trust != Trust::First).then_some(Duration::ZERO);
         // A front that keeps nothing has no list but what discovery tells it from now on.
         let doubts = !matches!(r.trust, Trust::First | Trust::Unkept);
         let late = if doubts { self.settings.discovery.late_ms.get() } else { Duration::ZERO };
@@ -568,15 +567,16 @@
 
     // ---- List ----
 
-    fn news(&mut self, news: ListNews) {
+    fn news(&mut self, mut news: ListNews) {
+        // Peers are told the list as it was kept.
+        let heard = self.learning.listed(self.now, &news);
+        self.lives.remind(&mut news);
         let applied = self.list.apply(self.now, &news, &self.settings);
         if news.mode == ListMode::Broken {
             tracing::warn!(version = self.list.version(), "server list broken; the last one stays");
         }
         self.events.push(Event::List(news.mode, applied.entries));
-        self.events.extend(self.learning.listed(self.now, &news).into_iter().map(Event::Heard));
-        // Rule 3: a drain that comes between choice and send. What has not been sent is called back; the
-        // module is told that it never ran, and picks anew.
+        self.events.extend(heard.into_iter().map(Event::Heard));
         let failed = self.lives.remembers(|server| self.list.address(server).is_some());
         self.events.extend(failed.into_iter().map(Event::Heard));
         let whole = news.mode == ListMode::Whole;
@@ -586,6 +586,8 @@
         }
         let deeds = self.lives.listed(&news, &applied.stopped);
         self.commands.extend(deeds.into_iter().map(Command::Keep));
+        // Rule 3: a drain that comes between choice and send. What has not been sent is called back; the
+        // module is told that it never ran, and picks anew.
         for server in applied.stopped {
             tracing::info!(server, "takes no new work");
             let low = AttemptId { request: 0, number: 0 };
@@ -640,8 +642,8 @@
         let (sid, rung, ask) = (s.sid.clone(), s.rung, s.ask.clone());
         // Only what a rule counts over a death is taken down: other set-ups wait for nothing.
         let further = number > 0 && self.settings.rules.ration.is_some();
-        let (paid, text) = (s.paid, sid.to_string());
-        let deed = (paid || further).then_some(Deed::Out { sid: text, server, paid, further });
+        let paid = s.paid;
+        let deed = (paid || further).then(|| Deed::Out { sid: sid.to_string(), server, paid, further });
         let until = self.now + if further { STALE_FURTHER } else { STALE };
         if number > 0 {
             tracing::info!(session = %sid, %attempt, server, "tries again");
--- a/crates/session/src/list.rs
+++ b/crates/session/src/list.rs
@@ -200,8 +200,6 @@
 #[derive(Debug, Default)]
 pub struct ServerList {
     version: u64,
-    /// Servers that an earlier life was told take no new work, after it last kept its list.
-    stopped_before: BTreeSet<ServerId>,
     servers: BTreeMap<ServerId, Known>,
 }
 
@@ -215,11 +213,6 @@
 }
 
 impl ServerList {
-    /// What an earlier life heard after its list was kept: a stale list is read by it.
-    pub fn stopped_before(&mut self, servers: BTreeSet<ServerId>) {
-        self.stopped_before = servers;
-    }
-
     /// Takes news in.
     pub fn apply(&mut self, now: Duration, news: &ListNews, settings: &FrontSettings) -> Applied {
         let mut out = Applied { entries: Vec::new(), stopped: BTreeSet::new() };
@@ -237,17 +230,6 @@
             }
         }
         for e in &news.entries {
-            // Guards a front that was killed between hearing of a drain and keeping its list (rule 3).
-            let forgotten = news.mode == ListMode::Stale
-                && e.state == WireState::Serving
-                && self.stopped_before.contains(&e.id);
-            let drained;
-            let e = if forgotten {
-                drained = ServerEntry { state: WireState::Draining, ..e.clone() };
-                &drained
-            } else {
-                e
-            };
             let started = self.started(now, e);
             let before = self.servers.insert(e.id, Known { entry: e.clone(), started });
             let served = before.is_some_and(|k| k.entry.state == WireState::Serving);
--- a/crates/session/src/lives.rs
+++ b/crates/session/src/lives.rs
@@ -46,13 +46,13 @@
     /// Takes in what is proven of earlier lives. Where paid sessions may be missing, those of the last life who
     /// wait for their answer have given up after `longest`, the longest time that one of theirs waits.
     pub(crate) fn recovered(&mut self, now: Duration, r: &mut Recovered, longest: Duration) {
-        if r.paid_missing() {
+        if r.trust.misses() {
             self.unproven = now + longest;
         }
         r.paid.iter().for_each(|sid| self.ran(*sid));
-        self.stopped.clone_from(&r.stopped);
-        self.failed.clone_from(&r.failed);
+        self.stopped = std::mem::take(&mut r.stopped);
         self.untold.clone_from(&r.failed);
+        self.failed = std::mem::take(&mut r.failed);
         self.left_over = std::mem::take(&mut r.held);
     }
 
@@ -78,6 +78,19 @@
         (paid && now < self.unproven).then_some(Reason::Unproven)
     }
 
+    /// Reads a list that was kept by what was heard after that. Guards a front that was killed between hearing of
+    /// a drain and keeping its list (rule 3).
+    pub(crate) fn remind(&self, news: &mut ListNews) {
+        if news.mode != ListMode::Stale {
+            return;
+        }
+        for e in news.entries.iter_mut().filter(|e| e.state == WireState::Serving) {
+            if self.stopped.contains(&e.id) {
+                e.state = WireState::Draining;
+            }
+        }
+    }
+
     /// What is to be taken down of news of the list: the words that later lives need (rule 3).
     pub(crate) fn listed(&mut self, news: &ListNews, stopped: &BTreeSet<ServerId>) -> Vec<Deed> {
         let mut deeds = Vec::new();
