Reread: one bounded set of paid sessions for ledger and lives; the paper's error says that it fails

Change: recovery::Paid serves both; Status holds the error alone. Measured: tests of session, recovery, front and command green.

--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -12,7 +12,7 @@
 use cloverhollow_recovery::frame::{encode, MAGIC};
 use cloverhollow_recovery::{Bounds, Deed, Ledger, Stamp};
 use cloverhollow_store::Paper;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -47,29 +47,28 @@
     pub(crate) refused: AtomicU64,
     /// Writes, of one deed or many.
     pub(crate) writes: AtomicU64,
-    failing: AtomicBool,
-    error: Mutex<String>,
+    failing: Mutex<Option<String>>,
 }
 
 impl Status {
     /// Why nothing can be taken down at present, if so.
     pub(crate) fn failing(&self) -> Option<String> {
-        let error = || self.error.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        self.failing.load(Relaxed).then(error)
+        self.failing.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn set(&self, result: Result<(), std::io::Error>) -> bool {
-        let failed = result.is_err();
-        if let Err(e) = &result {
-            *self.error.lock().unwrap_or_else(PoisonError::into_inner) = e.to_string();
-        }
-        if self.failing.swap(failed, Relaxed) != failed {
-            match result {
-                Err(error) => tracing::error!(%error, "deeds cannot be taken down: no paid set-up goes out"),
-                Ok(()) => tracing::info!("deeds are taken down again"),
+    /// Whether it went well; a line for each change.
+    fn set(&self, result: std::io::Result<()>) -> bool {
+        let error = result.err().map(|e| e.to_string());
+        let mut failing = self.failing.lock().unwrap_or_else(PoisonError::into_inner);
+        match (&*failing, &error) {
+            (None, Some(error)) => {
+                tracing::error!(error, "deeds cannot be taken down: no paid set-up goes out")
             }
+            (Some(_), None) => tracing::info!("deeds are taken down again"),
+            _ => {}
         }
-        !failed
+        *failing = error;
+        failing.is_none()
     }
 }
 
@@ -130,7 +129,7 @@
         let (to, from) = mpsc::channel(MOST_WAITING);
         let status = Arc::new(Status::default());
         let mut scribe =
-            Scribe { paper, ledger, rules, appended: usize::MAX, status: status.clone(), text: Vec::new() };
+            Scribe { paper, ledger, rules, appended: 0, status: status.clone(), text: Vec::new() };
         // In the ledger before anything can be handed in; on the paper with the first writing anew.
         scribe.ledger.apply(stamp(), &began, &scribe.rules.bounds);
         std::thread::spawn(move || scribe.run(from));
@@ -236,7 +235,7 @@
             let written = self.paper.append(&self.text).and_then(|()| self.sync());
             self.status.set(written)
         };
-        self.appended = self.appended.saturating_add(self.text.len());
+        self.appended += self.text.len();
         self.status.writes.fetch_add(1, Relaxed);
         let count = if wrote { &self.status.kept } else { &self.status.refused };
         count.fetch_add(lines.len() as u64, Relaxed);
@@ -284,6 +283,7 @@
     use super::*;
     use cloverhollow_recovery::{frame, Boot};
     use std::io;
+    use std::sync::atomic::AtomicBool;
 
     /// A paper in memory that can be full or slow.
     #[derive(Clone, Default)]
@@ -384,7 +384,7 @@
         for (at, deed) in frame::read(&sheet.text.lock().unwrap()).unwrap().deeds {
             ledger.apply(at, &deed, &Bounds::default());
         }
-        assert_eq!(ledger.paid().len(), 2, "the first and the third");
+        assert_eq!(ledger.paid().iter().len(), 2, "the first and the third");
         assert!(ledger.stopped().contains(&4));
     }
 }
--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -1,8 +1,9 @@
 //! What the deeds of all lives add up to.
 
-use crate::deed::{digest, Boot, Deed, Digest, Stamp};
+use crate::deed::{digest, Boot, Deed, Stamp};
+use crate::paid::Paid;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 /// How much a ledger holds at most; past each the oldest goes first.
 #[derive(Clone, Copy, Debug)]
@@ -49,9 +50,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
     /// Paid sessions that may have run, the oldest first.
-    paid: VecDeque<Digest>,
-    #[serde(skip)]
-    paid_known: HashSet<Digest>,
+    paid: Paid,
     /// Further attempts of this boot, the oldest first.
     further: VecDeque<Stamp>,
     /// All further attempts after this are in `further`; `None`: all that there ever were.
@@ -85,7 +84,7 @@
             }
             Deed::Out { sid, server, paid, further } => {
                 if *paid {
-                    self.spend(digest(sid), bounds);
+                    self.paid.add(digest(sid), bounds.paid);
                     push(&mut self.held, Held { sid: sid.clone(), server: *server }, bounds.held);
                 }
                 if *further {
@@ -95,12 +94,7 @@
                 }
             }
             Deed::Unrun { sid } => {
-                if self.paid_known.remove(sid) {
-                    // It is among the newest: whoever proves it does so within its viewer's time.
-                    if let Some(i) = self.paid.iter().rposition(|d| d == sid) {
-                        self.paid.remove(i);
-                    }
-                }
+                self.paid.remove(*sid);
                 self.held.retain(|h| digest(&h.sid) != *sid);
             }
             Deed::Listed { server, serves: true } => {
@@ -125,18 +119,7 @@
                     start.ended = true;
                 }
             }
-            Deed::Whole(all) => {
-                *self = (**all).clone();
-                self.paid_known = self.paid.iter().copied().collect();
-            }
-        }
-    }
-
-    fn spend(&mut self, sid: Digest, bounds: &Bounds) {
-        if self.paid_known.insert(sid) {
-            if let Some(oldest) = push(&mut self.paid, sid, bounds.paid) {
-                self.paid_known.remove(&oldest);
-            }
+            Deed::Whole(all) => *self = (**all).clone(),
         }
     }
 
@@ -150,8 +133,8 @@
     }
 
     /// Paid sessions that may have run, the oldest first.
-    pub fn paid(&self) -> impl ExactSizeIterator<Item = Digest> + '_ {
-        self.paid.iter().copied()
+    pub fn paid(&self) -> &Paid {
+        &self.paid
     }
 
     /// Further attempts, the oldest first.
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -12,9 +12,11 @@
 pub mod deed;
 pub mod frame;
 pub mod ledger;
+mod paid;
 mod recover;
 
 pub use backoff::Backoff;
 pub use deed::{digest, Boot, Deed, Digest, Stamp};
 pub use ledger::{Bounds, Ledger};
+pub use paid::Paid;
 pub use recover::{recover, Found, Recovered, Trust, Why};
--- a/crates/recovery/src/recover.rs
+++ b/crates/recovery/src/recover.rs
@@ -1,8 +1,9 @@
 //! What of a file that is found at a start can be believed.
 
-use crate::deed::{Boot, Digest, Stamp};
+use crate::deed::{Boot, Stamp};
 use crate::frame;
 use crate::ledger::{Bounds, Held, Ledger};
+use crate::paid::Paid;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -82,7 +83,7 @@
     /// How far that is proven.
     pub trust: Trust,
     /// Paid sessions that may have run, the oldest first.
-    pub paid: Vec<Digest>,
+    pub paid: Paid,
     /// Ages of further attempts.
     pub further: Vec<Duration>,
     /// For so long back those are all.
@@ -100,7 +101,7 @@
     pub fn unkept() -> Self {
         Recovered {
             trust: Trust::Unkept,
-            paid: Vec::new(),
+            paid: Paid::default(),
             further: Vec::new(),
             known: Duration::ZERO,
             stopped: BTreeSet::new(),
@@ -120,7 +121,7 @@
     let same_boot = trust == Trust::Proven;
     let recovered = Recovered {
         trust,
-        paid: ledger.paid().collect(),
+        paid: ledger.paid().clone(),
         further: ledger.further().filter(|_| same_boot).map(age).collect(),
         known: match trust {
             Trust::First => Duration::MAX,
--- a/crates/recovery/tests/recovery.rs
+++ b/crates/recovery/tests/recovery.rs
@@ -45,7 +45,7 @@
     let bytes = file(&life());
     let (ledger, r) = recover(found(&bytes, 1_700), BOOT, at(4_000), &Bounds::default());
     assert_eq!(r.trust, Trust::Proven);
-    assert_eq!(r.paid, [digest("c")], "a is proven never to have run");
+    assert_eq!(r.paid.iter().collect::<Vec<_>>(), [digest("c")], "a is proven never to have run");
     assert_eq!(r.further, [Duration::from_millis(2_800), Duration::from_millis(2_700)]);
     assert_eq!(r.known, Duration::MAX);
     assert_eq!(r.stopped.into_iter().collect::<Vec<_>>(), [9]);
@@ -53,7 +53,7 @@
     // Written anew in one frame it says the same.
     let anew = file(&[(1_700, Deed::Whole(Box::new(ledger)))]);
     let (_, again) = recover(found(&anew, 1_700), BOOT, at(4_000), &Bounds::default());
-    assert_eq!((again.trust, again.paid), (Trust::Proven, vec![digest("c")]));
+    assert_eq!((again.trust, again.paid.iter().collect()), (Trust::Proven, vec![digest("c")]));
 }
 
 #[test]
@@ -90,7 +90,7 @@
     let bytes = file(&deeds);
     let (_, r) = recover(found(&bytes, 1_700), Boot(8), at(300), &Bounds::default());
     assert_eq!((r.trust, r.known), (Trust::Rebooted, Duration::ZERO));
-    assert_eq!((r.paid.len(), r.further.len()), (1, 0));
+    assert_eq!((r.paid.iter().len(), r.further.len()), (1, 0));
     // A life of the new boot that is killed in turn: what is known begins with it.
     deeds.push((400, Deed::Began { boot: Boot(8) }));
     deeds.push((450, out("d", false, true)));
@@ -121,7 +121,7 @@
         ledger.apply(at(i), &out(&format!("s{i}"), true, true), &bounds);
         ledger.apply(at(i), &Deed::Listed { server: i, serves: false }, &bounds);
     }
-    assert_eq!(ledger.paid().collect::<Vec<_>>(), ["s3", "s4", "s5"].map(digest));
+    assert_eq!(ledger.paid().iter().collect::<Vec<_>>(), ["s3", "s4", "s5"].map(digest));
     assert_eq!(ledger.further().count(), 2);
     assert_eq!(ledger.known_from(), Some(at(3)), "the ration's past is short");
     assert_eq!((ledger.stopped().len(), ledger.starts().count(), ledger.held().count()), (1, 2, 1));
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -256,7 +256,7 @@
 
     /// What earlier lives did, as far as it is proven. What is not proven counts as done.
     fn recovered(&mut self, mut r: Recovered) {
-        let (paid, stopped) = (r.paid.len(), r.stopped.len());
+        let (paid, stopped) = (r.paid.iter().len(), r.stopped.len());
         tracing::info!(proven = r.trust.words(), paid, stopped, "this front ran before");
         let waits = self.settings.classes.0.iter().filter(|c| c.paid).map(|c| c.deadline_ms.get());
         self.lives.recovered(self.now, &mut r, waits.max().unwrap_or_default());
@@ -450,7 +450,7 @@
         self.routes.insert(route.clone());
         s.phase = Phase::Playing { attempt, route: route.clone() };
         if s.paid {
-            self.lives.ran(digest(&s.sid));
+            self.lives.ran(&s.sid);
         }
         tracing::debug!(session = %s.sid, %attempt, server, rung = s.rung, "plays");
         let waiting = std::mem::take(&mut s.waiting);
@@ -506,7 +506,7 @@
         if !outcome.never_ran() {
             s.ran = Some(end);
             if s.paid {
-                self.lives.ran(digest(&s.sid));
+                self.lives.ran(&s.sid);
             }
             // It may hold the session all the same.
             if let Some(address) = self.list.address(server) {
--- a/crates/session/src/lives.rs
+++ b/crates/session/src/lives.rs
@@ -5,8 +5,8 @@
 use crate::types::Reason;
 use cloverhollow::{Heard, ListMode, ServerId};
 use cloverhollow_recovery::ledger::Held;
-use cloverhollow_recovery::{digest, Deed, Digest, Recovered};
-use std::collections::{BTreeSet, HashSet, VecDeque};
+use cloverhollow_recovery::{digest, Deed, Paid, Recovered};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// One front's lives. Paid sessions are bounded by `most`, the oldest forgotten first; the rest by the ledger
@@ -14,8 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Lives {
     /// Paid sessions that may have run, in this life or another: none of them is ever set up again here.
-    spent: HashSet<Digest>,
-    order: VecDeque<Digest>,
+    spent: Paid,
     most: usize,
     /// Until then no paid session can be proven to be new.
     unproven: Duration,
@@ -32,8 +31,7 @@
 impl Lives {
     pub(crate) fn new(most: usize) -> Self {
         Lives {
-            spent: HashSet::new(),
-            order: VecDeque::new(),
+            spent: Paid::default(),
             most,
             unproven: Duration::ZERO,
             stopped: BTreeSet::new(),
@@ -49,7 +47,8 @@
         if r.trust.misses() {
             self.unproven = now + longest;
         }
-        r.paid.iter().for_each(|sid| self.ran(*sid));
+        // Read with the same bound.
+        self.spent = std::mem::take(&mut r.paid);
         self.stopped = std::mem::take(&mut r.stopped);
         self.untold.clone_from(&r.failed);
         self.failed = std::mem::take(&mut r.failed);
@@ -57,22 +56,14 @@
     }
 
     /// A paid session may have run.
-    pub(crate) fn ran(&mut self, sid: Digest) {
-        if !self.spent.insert(sid) {
-            return;
-        }
-        self.order.push_back(sid);
-        if self.order.len() > self.most {
-            if let Some(oldest) = self.order.pop_front() {
-                self.spent.remove(&oldest);
-            }
-        }
+    pub(crate) fn ran(&mut self, sid: &str) {
+        self.spent.add(digest(sid), self.most);
     }
 
     /// Why a session cannot be set up, as far as other sessions and lives tell. Rule 2: one of which it is not
     /// certain that it never ran is not; nor one of which it cannot be told, after a start that proves nothing.
     pub(crate) fn bars(&self, now: Duration, sid: &str, paid: bool) -> Option<Reason> {
-        if self.spent.contains(&digest(sid)) {
+        if self.spent.has(digest(sid)) {
             return Some(Reason::SetUpBefore);
         }
         (paid && now < self.unproven).then_some(Reason::Unproven)
