Reread: a connection turned away is answered as others are; files and cold facts named once

Cause: found on rereading: a 503 written by hand beside the one that viewers get, the name of a file beside another made in three places, what a front keeps removed in three, how fresh servers warm read from a script in two. Change: viewer::turn_away, store::beside, front::deeds_file, lab fronts::forget, plan::cold. A connection turned away has rd=0 in its CMSD as other answers have.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,8 +23,8 @@
 mod viewer;
 
 pub use clock::Clock;
+pub use lives::deeds_file;
 
-use cloverhollow_hints::cmsd;
 use cloverhollow_recovery::Trust;
 use cloverhollow_session::{Core, Input, Policy, Routes, Shelf, Stats, Tap};
 use cloverhollow_settings::FrontSettings;
@@ -34,7 +34,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -247,9 +247,9 @@
             // Past that bound too, it is just closed.
             _ => {
                 if let Ok(permit) = turning.clone().try_acquire_owned() {
-                    let name = shared.settings.instance.name.as_str().to_string();
+                    let shared = shared.clone();
                     connections.spawn(async move {
-                        turn_away(stream, &name, after, reason).await;
+                        viewer::turn_away(stream, after, reason, &shared).await;
                         drop(permit);
                     });
                 }
@@ -260,17 +260,3 @@
 
 /// Most connections past the cap that are being told so at a time.
 const TURNED_AWAY: usize = 256;
-
-/// The shortest answer there is, to a connection that is not served: no request of it is read.
-async fn turn_away(stream: TcpStream, name: &str, after: Duration, reason: &str) {
-    let hop = cmsd::Hop { name: name.into(), reason: Some(reason.into()), ..cmsd::Hop::default() };
-    let text = format!(
-        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {}\r\n{}: {}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
-        after.as_secs_f64().ceil(),
-        cmsd::DYNAMIC,
-        hop.write()
-    );
-    // A new socket's send buffer holds this; where it does not, the peer is none to wait for.
-    let _ = stream.try_write(text.as_bytes());
-    cloverhollow_net::linger(stream).await;
-}
--- a/crates/front/src/lives.rs
+++ b/crates/front/src/lives.rs
@@ -5,8 +5,8 @@
 use cloverhollow_recovery::backoff::Wait;
 use cloverhollow_recovery::{recover, Backoff, Bounds, Deed, Found, Recovered, Trust};
 use cloverhollow_settings::{FrontSettings, Outlives};
-use cloverhollow_store::{Paper, PaperError, PaperFile};
-use std::path::PathBuf;
+use cloverhollow_store::{beside, Paper, PaperError, PaperFile};
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use tokio::task::spawn_blocking;
 
@@ -23,11 +23,8 @@
 }
 
 /// The file of deeds, beside the store.
-fn path(settings: &FrontSettings) -> Option<PathBuf> {
-    let file = settings.keep.file.as_ref()?;
-    let mut name = file.file_name().unwrap_or_default().to_os_string();
-    name.push(".deeds");
-    Some(file.with_file_name(name))
+pub fn deeds_file(keep: &Path) -> PathBuf {
+    beside(keep, ".deeds")
 }
 
 /// Opens the paper; waits a little for a process that is just ending. The disk is waited for on a thread that
@@ -37,7 +34,7 @@
 /// Another process of this front runs on: two lives at once would each spend the whole of every budget.
 /// Other errors are none: the front goes on without a paper, and takes nothing down.
 pub(crate) async fn open(settings: &FrontSettings) -> Result<Option<cloverhollow_store::Found>, PaperError> {
-    let Some(path) = path(settings) else { return Ok(None) };
+    let Some(path) = settings.keep.file.as_deref().map(deeds_file) else { return Ok(None) };
     let opened = spawn_blocking(move || {
         let begun = Instant::now();
         loop {
--- a/crates/front/src/viewer.rs
+++ b/crates/front/src/viewer.rs
@@ -38,6 +38,17 @@
 }
 
 impl ViewerConn {
+    fn new(stream: TcpStream, shared: &Shared) -> Self {
+        let listen = &shared.settings.listen;
+        let limits = Limits {
+            head_bytes: listen.head_bytes.count(),
+            headers: listen.header_lines.count(),
+            ..Limits::default()
+        };
+        let framed = Framed::with_capacity(stream, ServerSide::new(limits), 2048);
+        ViewerConn { framed, keep_alive: true, write: listen.write_ms.get() }
+    }
+
     /// Whether to go on, after a whole answer.
     pub(crate) fn flow(&self) -> Flow {
         if self.keep_alive {
@@ -96,17 +107,19 @@
     }
 }
 
+/// Answers a connection that is not served; no request of it is read.
+pub(crate) async fn turn_away(stream: TcpStream, after: Duration, reason: &str, shared: &Shared) {
+    let mut conn = ViewerConn::new(stream, shared);
+    conn.keep_alive = false;
+    conn.refuse(after, reason, shared).await;
+    linger(conn.framed.into_inner()).await;
+}
+
 /// Serves a connection to its end.
 pub(crate) async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     let listen = &shared.settings.listen;
-    let limits = Limits {
-        head_bytes: listen.head_bytes.count(),
-        headers: listen.header_lines.count(),
-        ..Limits::default()
-    };
     let port = stream.peer_addr().map_or(0, |a| a.port());
-    let framed = Framed::with_capacity(stream, ServerSide::new(limits), 2048);
-    let mut conn = ViewerConn { framed, keep_alive: true, write: listen.write_ms.get() };
+    let mut conn = ViewerConn::new(stream, &shared);
     loop {
         if conn.framed.read_buffer().is_empty() {
             let mut byte = [0];
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -2,6 +2,7 @@
 //! server, set-ups and objects a second, memory a session. Measurements, not tests: nothing here fails.
 
 use crate::exchange::Log;
+use crate::fronts::forget;
 use crate::score::{percentiles, Percentiles};
 use crate::standin::Discovery;
 use bytes::Bytes;
@@ -162,9 +163,7 @@
             all.push(quick_server().await?);
         }
         let file: PathBuf = dir.join("bench.keep");
-        for old in [file.clone(), dir.join("bench.keep.deeds")] {
-            let _ = std::fs::remove_file(old);
-        }
+        forget(&file);
         let discovery = Discovery::start(Arc::new(Log::begin()), Ipv4Addr::LOCALHOST).await?;
         for (i, address) in all.iter().enumerate() {
             let entry = ServerEntry {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -3,7 +3,7 @@
 
 use crate::exchange::{Exchange, Log, Seen};
 use crate::fleet::{peer_cost, PeerCost};
-use crate::fronts::{FrontCommand, FrontError, Fronts, StartMode};
+use crate::fronts::{forget, keep_file, FrontCommand, FrontError, Fronts, StartMode};
 use crate::plan;
 use crate::policies::PolicyName;
 use crate::rules::{self, Verdict};
@@ -106,9 +106,7 @@
     std::fs::create_dir_all(&options.dir).map_err(dir)?;
     // What was kept of another day would be lies.
     for front in 0..script.fronts.count() {
-        for file in [format!("front-{front}.keep"), format!("front-{front}.keep.deeds")] {
-            let _ = std::fs::remove_file(options.dir.join(file));
-        }
+        forget(&keep_file(&options.dir, front));
     }
     let fleet = plan::fleet(script);
     let viewers = plan::viewers(script, &fleet);
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -2,11 +2,12 @@
 
 use crate::exchange::{Log, Seen};
 use crate::policies::PolicyName;
+use cloverhollow_front::deeds_file;
 use rand::seq::SliceRandom;
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -52,6 +53,18 @@
     }
 }
 
+/// Removes all that a front keeps: its next life is its first.
+pub fn forget(keep: &Path) {
+    for file in [keep, &deeds_file(keep)] {
+        let _ = std::fs::remove_file(file);
+    }
+}
+
+/// What a front keeps, in a day's folder.
+pub fn keep_file(dir: &Path, front: usize) -> PathBuf {
+    dir.join(format!("front-{front}.keep"))
+}
+
 /// Peers named in a front's settings; it hears of the others from them.
 const SEEDS: usize = 4;
 
@@ -128,13 +141,12 @@
         s["listen"]["address"] = any.as_str().into();
         s["side"] = serde_json::json!({ "address": any });
         s["discovery"]["address"] = c.discovery.to_string().into();
-        let file = c.dir.join(format!("front-{front}.keep"));
+        let file = keep_file(&c.dir, front);
         if c.mode == StartMode::Cold {
             let _ = std::fs::remove_file(&file);
         }
         if c.policy == PolicyName::Forgets {
-            let deeds = c.dir.join(format!("front-{front}.keep.deeds"));
-            [file.clone(), deeds].iter().for_each(|f| drop(std::fs::remove_file(f)));
+            forget(&file);
         }
         s["keep"]["file"] = serde_json::json!(file);
         if c.mode == StartMode::Warm {
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -109,15 +109,19 @@
         _ => sum * f.uplink.get() * spread(rng, f.uneven.get()),
     };
     let racks = links.into_iter().map(|sum| Rack { uplink_kb: uplink(sum, &mut rng), factor: 1.0 }).collect();
-    let rules = &told.rules;
-    let cold = ColdFacts {
+    Fleet { cold: cold(script), servers, racks }
+}
+
+/// How fresh servers warm, by the rules' figures and the script's slack.
+pub fn cold(script: &Script) -> ColdFacts {
+    let rules = &script.front.rules;
+    ColdFacts {
         span: rules.cold_ms.get(),
         from: rules.cold_from.get(),
         multiple: rules.fall_multiple.get(),
         window: rules.fall_ms.get(),
-        slack: f.slack.get(),
-    };
-    Fleet { cold, servers, racks }
+        slack: script.fleet.slack.get(),
+    }
 }
 
 /// Sessions a second at load 1: 92% of links and uplinks filled at the middle rate.
--- a/crates/lab/src/rules/cold.rs
+++ b/crates/lab/src/rules/cold.rs
@@ -6,7 +6,7 @@
 
 use super::{Check, Outages, Verdict};
 use crate::exchange::{Exchange, Seen};
-use crate::model::ColdFacts;
+use crate::plan::cold;
 use crate::script::Script;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -21,14 +21,7 @@
 
 pub(super) fn check(all: &[Exchange], script: &Script) -> Verdict {
     let mut check = Check::new(4, "no cold server pushed over");
-    let rules = &script.front.rules;
-    let cold = ColdFacts {
-        span: rules.cold_ms.get(),
-        from: rules.cold_from.get(),
-        multiple: rules.fall_multiple.get(),
-        window: rules.fall_ms.get(),
-        slack: script.fleet.slack.get(),
-    };
+    let cold = cold(script);
     let outages = Outages::of(all);
     let mut starts: BTreeMap<u64, Start> = BTreeMap::new();
     let mut witnesses: BTreeMap<u64, BTreeSet<usize>> = BTreeMap::new();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,7 +11,7 @@
 
 mod paper;
 
-pub use paper::{Found, Paper, PaperError, PaperFile, MOST_PAPER};
+pub use paper::{beside, Found, Paper, PaperError, PaperFile, MOST_PAPER};
 
 use redb::{Database, Durability, ReadableDatabase, TableDefinition};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -73,11 +73,7 @@
         if let Ok((keep, kept)) = Keep::trusted(path) {
             return Ok(Opened { keep, kept, set_aside: None });
         }
-        let aside = path.exists().then(|| {
-            let mut name = path.file_name().unwrap_or_default().to_os_string();
-            name.push(".bad");
-            path.with_file_name(name)
-        });
+        let aside = path.exists().then(|| beside(path, ".bad"));
         if let Some(aside) = &aside {
             std::fs::rename(path, aside).map_err(store)?;
         }
--- a/crates/store/src/paper.rs
+++ b/crates/store/src/paper.rs
@@ -71,7 +71,8 @@
     _lock: File,
 }
 
-fn beside(path: &Path, ending: &str) -> PathBuf {
+/// The file of that name and ending, in the same folder.
+pub fn beside(path: &Path, ending: &str) -> PathBuf {
     let mut name = path.file_name().unwrap_or_default().to_os_string();
     name.push(ending);
     path.with_file_name(name)
