--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -418,10 +418,7 @@
             if restarted {
                 self.started(e.server, e.started);
             } else if self.now < self.doubt && s.turn.is_zero() {
-                // Where each front's part is a whole set-up a window, the first may go at once.
-                let (chance, gap) = (self.rng.f64(), self.cold_gap(&self.servers[&e.server]));
-                let wait = if gap > self.set.rules.fall_span { gap.mul_f64(chance) } else { Duration::ZERO };
-                self.servers.get_mut(&e.server).expect("listed above").turn = self.now + wait;
+                self.draw_turn(e.server);
             }
         }
         self.size_links();
@@ -513,15 +510,18 @@
         Duration::from_secs_f64(secs(r.fall_span) / part.max(TINY))
     }
 
-    /// A server is found to be cold. All fronts hear of a start together: each waits for a turn of its own.
+    /// A server is found to be cold, or doubted. All fronts hear of a start together: each waits for a turn
+    /// of its own. At a doubted one, where a front's part is a whole set-up a window, the first may go at once.
     fn draw_turn(&mut self, server: ServerId) {
         let chance = self.rng.f64();
         let Some(s) = self.servers.get(&server) else { return };
-        let wait = self.cold_gap(s).mul_f64(chance);
-        self.servers.get_mut(&server).expect("looked up above").turn = self.now.max(self.quiet) + wait;
+        let (cold, gap) = (self.is_cold(s), self.cold_gap(s));
+        let from = if cold { self.now.max(self.quiet) } else { self.now };
+        let wait = if cold || gap > self.set.rules.fall_span { gap.mul_f64(chance) } else { Duration::ZERO };
+        self.servers.get_mut(&server).expect("looked up above").turn = from + wait;
     }
 
-    /// Guards a front that dies and comes back against spending anew what its last life spent (rules 4 and 6):
+    /// Guards a front that dies and comes back against spending anew what its last life spent (rules 4, 6):
     /// what cannot be proven otherwise counts as spent for one span. And against servers that started anew
     /// while it was dead, of which its list is yet to tell: each gets its set-ups as a cold one would. May
     /// hurt: it refuses after one attempt that long, and what comes in a rush after a return.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -168,18 +168,11 @@
         // Connections wait in the listener's queue meanwhile. Guards against the first moment of a front that
         // comes back: its last list may name servers that have drained since.
         let hold = settings.peers.hold_ms.get();
-        let gated = state.clone();
         let journal = shared.journal.clone();
         tasks.spawn(until(stop.clone(), async move {
-            let wait = async {
-                state.not_warming().await;
-                // Drains that the last life heard may be lost: the list is waited for.
-                if proven.misses() {
-                    state.told().await;
-                }
-            };
-            let _ = tokio::time::timeout(hold, wait).await;
-            accept(listener, shared, gated).await;
+            // Drains that the last life heard may be lost: then the list is waited for.
+            let _ = tokio::time::timeout(hold, state.settled(proven.misses())).await;
+            accept(listener, shared, state).await;
         }));
         tracing::info!(%address, name = settings.instance.name.as_str(), "front started");
         Ok(Front { address, side: side_address, stop, tasks, journal })
--- a/crates/front/src/side.rs
+++ b/crates/front/src/side.rs
@@ -82,22 +82,16 @@
         Duration::from_millis(self.open_ms.load(Relaxed)).saturating_sub(now)
     }
 
-    /// Waits until discovery has told a whole list.
-    pub(crate) async fn told(&self) {
-        while !self.told.load(Relaxed) {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    }
-
     /// Sets how warm the front is; whether that changed.
     pub(crate) fn set_level(&self, level: Level, why: Why) -> bool {
         std::mem::replace(&mut *lock(&self.level), (level, why)) != (level, why)
     }
 
-    /// Waits until the warm start has ended, one way or the other.
-    pub(crate) async fn not_warming(&self) {
+    /// Waits until the warm start has ended, one way or the other, and, where a `list` is asked for, until
+    /// discovery has told a whole one.
+    pub(crate) async fn settled(&self, list: bool) {
         // Looked at now and then: it is a wait of some hundred milliseconds, once.
-        while lock(&self.level).0 == Level::Warming {
+        while lock(&self.level).0 == Level::Warming || (list && !self.told.load(Relaxed)) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
--- a/crates/lab/src/hunt/mod.rs
+++ b/crates/lab/src/hunt/mod.rs
@@ -16,9 +16,7 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
 /// A day that has not ended so long after its length is ended.
@@ -53,8 +51,6 @@
 pub enum Broke {
     /// That rule.
     Rule(u8),
-    /// A server fell over.
-    Toppled,
     /// A front's process panicked.
     Panic,
     /// The day did not come to its end.
@@ -108,7 +104,6 @@
 #[derive(Deserialize)]
 struct Outcome {
     rules: Vec<Told>,
-    toppled: usize,
     deaths: usize,
 }
 
@@ -118,13 +113,9 @@
     first: Option<String>,
 }
 
-/// What an outcome tells.
+/// What an outcome tells. That a server fell is none of it: where fronts could have known, rule 4 is broken.
 fn broke(outcome: &Outcome) -> Vec<(Broke, String)> {
-    let rules = outcome.rules.iter().filter_map(|r| Some((Broke::Rule(r.rule), r.first.clone()?)));
-    let toppled = (outcome.toppled > 0).then(|| (Broke::Toppled, format!("{} servers", outcome.toppled)));
-    // A server that falls on a day without a broken rule was pushed by fronts that could not know.
-    let rule_four = outcome.rules.iter().any(|r| r.rule == 4 && r.first.is_some());
-    rules.chain(toppled.filter(|_| rule_four)).collect()
+    outcome.rules.iter().filter_map(|r| Some((Broke::Rule(r.rule), r.first.clone()?))).collect()
 }
 
 /// Plays one day in a process of its own.
@@ -198,48 +189,33 @@
     ///
     /// # Errors
     /// The folder cannot be used.
-    pub async fn run(&self, tell: impl Fn(usize, &Played) + Send + Sync) -> Result<Found, HuntError> {
+    pub async fn run(&self, tell: impl Fn(usize, &Played)) -> Result<Found, HuntError> {
         std::fs::create_dir_all(&self.dir).map_err(io(&self.dir))?;
         let path = self.dir.join("results.jsonl");
         let mut all = read_results(&path)?;
         let known: BTreeSet<u64> = all.iter().map(|r| r.seed).collect();
         let resumed = all.len();
-        let file = std::fs::File::options().create(true).append(true).open(&path).map_err(io(&path))?;
-        let (file, begun) = (Mutex::new(file), Instant::now());
-        let room = Arc::new(Semaphore::new(self.jobs.max(1)));
-        let mut days = JoinSet::new();
+        let mut file = std::fs::File::options().create(true).append(true).open(&path).map_err(io(&path))?;
+        let begun = Instant::now();
         let mut seeds = (self.first..self.first + self.days).filter(|s| !known.contains(s));
-        let mut failed = None;
+        let (mut days, mut failed) = (JoinSet::new(), None);
         loop {
-            // One more than is played waits here: days end in any order, and are written as they end.
-            let next = (begun.elapsed() < self.within && failed.is_none()).then(|| seeds.next()).flatten();
-            if let Some(seed) = next {
-                let permit = room.clone().acquire_owned().await;
+            while days.len() < self.jobs.max(1) && failed.is_none() && begun.elapsed() < self.within {
+                let Some(seed) = seeds.next() else { break };
                 let me = self.clone();
-                days.spawn(async move {
-                    let _permit = permit;
-                    me.one(seed).await
-                });
+                days.spawn(async move { me.one(seed).await });
             }
-            let ended = match next {
-                Some(_) => days.try_join_next(),
-                None => match days.join_next().await {
-                    Some(ended) => Some(ended),
-                    None => break,
-                },
-            };
-            match ended {
-                Some(Ok(Ok(result))) => {
-                    let line = serde_json::to_string(&result).unwrap_or_default() + "\n";
-                    let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+            // Days end in any order, and are written as they end.
+            match days.join_next().await {
+                Some(Ok(Ok(played))) => {
+                    let line = serde_json::to_string(&played).unwrap_or_default() + "\n";
                     file.write_all(line.as_bytes()).map_err(io(&path))?;
-                    all.push(result);
-                    if let Some(last) = all.last() {
-                        tell(all.len(), last);
-                    }
+                    tell(all.len() + 1, &played);
+                    all.push(played);
                 }
                 Some(Ok(Err(e))) => failed = Some(e),
-                _ => {}
+                Some(Err(_)) => {} // a panic, which has been written to standard error
+                None => break,
             }
         }
         match failed {
