--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -511,7 +511,7 @@
     }
 
     /// A server is found to be cold, or doubted. All fronts hear of a start together: each waits for a turn
-    /// of its own. At a doubted one, where a front's part is a whole set-up a window, the first may go at once.
+    /// of its own. At a doubted one the first may go at once, where a front's part is a whole one a window.
     fn draw_turn(&mut self, server: ServerId) {
         let chance = self.rng.f64();
         let Some(s) = self.servers.get(&server) else { return };
