A front is ready only once it has written; stalls and a jumped clock as tests

Change: until the first write the front says that nothing is written yet. Tests: stopped past the deadline with a paid set-up out, before a request is read, and idle; a clock that jumps an hour.

--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -180,3 +180,49 @@
     assert!(again.starts_with("HTTP/1.1 502") && again.contains("set-up-before"), "{again}");
     kill(child);
 }
+
+fn signal(life: &Life, name: &str) {
+    let sent = std::process::Command::new("kill").args([name, &life.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+}
+
+#[test]
+fn a_front_that_stands_still_past_each_deadline_answers_once_and_sets_nothing_up_twice() {
+    // A deadline of a second and a half, and two seconds and a half of standing still.
+    let still = std::time::Duration::from_millis(2_500);
+    let (_dir, saw, config) = site("still", "");
+    let text = std::fs::read_to_string(&config).unwrap().replace("deadline_ms: 15000", "deadline_ms: 1500");
+    std::fs::write(&config, text).unwrap();
+    let (life, address, side) = ready(&config);
+    // Stopped while a paid set-up is out: its time is up meanwhile.
+    let viewer = ask(address, "/club/paid/t/0", AT_START);
+    assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Setup("one".into()));
+    signal(&life, "-STOP");
+    std::thread::sleep(still);
+    signal(&life, "-CONT");
+    let answer = whole(viewer);
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert_eq!(saw.recv_timeout(LONG).unwrap(), Saw::Closed);
+    // Stopped before a request is read: it is a call like any other afterwards.
+    let again = whole(ask(address, "/club/paid/t/0", AT_START));
+    assert!(again.contains("set-up-before"), "{again}");
+    signal(&life, "-STOP");
+    let late = ask(address, "/club/paid/t/0", &AT_START.replace("one", "late"));
+    std::thread::sleep(still);
+    signal(&life, "-CONT");
+    let answer = whole(late);
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    // The server's silence before may have put it at rest: then the viewer is refused, and nothing went out.
+    let mut setups = Vec::new();
+    if answer.starts_with("HTTP/1.1 200") {
+        setups.push(saw.recv_timeout(LONG).unwrap());
+    }
+    assert!(setups.iter().all(|s| *s == Saw::Setup("late".into())), "{setups:?}");
+    // Stopped while it is idle, then asked by its operator.
+    signal(&life, "-STOP");
+    std::thread::sleep(still);
+    signal(&life, "-CONT");
+    until_ready(side);
+    assert!(saw.try_recv().is_err(), "nothing more went out");
+}
--- a/crates/front/src/journal.rs
+++ b/crates/front/src/journal.rs
@@ -60,12 +60,10 @@
     fn set(&self, result: std::io::Result<()>) -> bool {
         let error = result.err().map(|e| e.to_string());
         let mut failing = self.failing.lock().unwrap_or_else(PoisonError::into_inner);
-        match (&*failing, &error) {
-            (None, Some(error)) => {
-                tracing::error!(error, "deeds cannot be taken down: no paid set-up goes out")
-            }
-            (Some(_), None) => tracing::info!("deeds are taken down again"),
-            _ => {}
+        match &error {
+            _ if *failing == error => {}
+            Some(error) => tracing::error!(error, "deeds cannot be taken down: no paid set-up goes out"),
+            None => tracing::info!("deeds are taken down"),
         }
         *failing = error;
         failing.is_none()
@@ -127,7 +125,9 @@
     /// Starts the thread. The paper is written anew first: with `ledger`, and `began` as its next deed.
     pub(crate) fn start(paper: Box<dyn Paper>, ledger: Ledger, began: Deed, rules: Rules) -> Self {
         let (to, from) = mpsc::channel(MOST_WAITING);
-        let status = Arc::new(Status::default());
+        // Guards against a front that says that it is ready before it knows whether it can write.
+        let failing = Mutex::new(Some("nothing is written yet".to_string()));
+        let status = Arc::new(Status { failing, ..Status::default() });
         let mut scribe =
             Scribe { paper, ledger, rules, appended: 0, status: status.clone(), text: Vec::new() };
         // In the ledger before anything can be handed in; on the paper with the first writing anew.
--- a/crates/session/tests/lives.rs
+++ b/crates/session/tests/lives.rs
@@ -179,3 +179,21 @@
     let worked = Deed::Failed { server: 1, failed: false };
     assert_eq!(sent_at_once(&[deeds, vec![worked]].concat()), 8);
 }
+
+/// As after a machine's suspend: the clock goes on, and what comes in finds every span past.
+#[test]
+fn a_clock_that_jumped_an_hour_ends_what_waited_once_and_opens_no_budget_twice() {
+    let mut core = core();
+    core.step(DAY, [serving(2)]);
+    let setup = sent(&core.step(DAY, [call(1, "one", "paid")]));
+    let later = DAY + Duration::from_secs(3_600);
+    let commands = core.step(later, []);
+    assert_eq!(words(&commands), [format!("recall {} TimedOut", setup.attempt)]);
+    let commands = core.step(later, [ended(setup.attempt, AttemptEnd::Unanswered)]);
+    assert_eq!(words(&commands), ["release one", "1 failed unanswered"]);
+    // What was decided before the jump is too old to be sent.
+    assert!(setup.until < later);
+    let again = core.step(later + ms(1), [call(2, "one", "paid")]);
+    assert_eq!(words(&again), ["2 failed set-up-before"]);
+    assert!(core.step(later + ms(2), []).is_empty());
+}
