Releases go on connections with sessions, never on one that only carried a test

At fault: Standing::usual was called for tests (desk.rs), and sessions handed over had no connection (Standing::adopt kept none), so theirs always went by the fallback. Ruled out: servers telling late (same millisecond), releases waiting for a connection (none waited).

Now a handed-over session keeps the connection that it came on, a test makes no connection usable, and of the others one with sessions goes first: an empty one may be closed by its viewer in the same instant.

--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -235,7 +235,6 @@
             }
             Ok(Wish::Test { cseq, sid }) => {
                 self.write(conn, viewer::heard(&cseq, sid.as_deref()));
-                self.usual(conn);
             }
             Ok(Wish::Nothing) => {}
             Err(unusable) => {
@@ -254,7 +253,7 @@
     fn setup(&mut self, conn: ConnId, setup: viewer::Setup) {
         let viewer::Setup { sid, at, mut arrival } = setup;
         if let Some(name) = at {
-            self.adopt(&sid, &name, arrival);
+            self.adopt(conn, &sid, &name, arrival);
             return self.usual(conn);
         }
         if self.standing.knows(&sid) {
@@ -274,7 +273,7 @@
         self.inputs.push(Input::Arrived(arrival));
     }
 
-    fn adopt(&mut self, sid: &Sid, name: &str, arrival: cloverhollow_session::Arrival<Ask>) {
+    fn adopt(&mut self, conn: ConnId, sid: &Sid, name: &str, arrival: cloverhollow_session::Arrival<Ask>) {
         if self.standing.knows(sid) {
             return;
         }
@@ -283,7 +282,7 @@
             return;
         };
         let now = self.clock.now();
-        self.standing.adopt(sid, server, now);
+        self.standing.adopt(sid, conn, server, now);
         self.watch.stands(now, server);
         self.inputs.push(Input::Adopted { arrival, server });
     }
--- a/crates/platform/src/standing.rs
+++ b/crates/platform/src/standing.rs
@@ -1,7 +1,8 @@
 //! Who waits for a session or has one, on which connection, and the releases that are owed to viewers.
 //!
 //! A session that stands belongs to no connection: its release goes on the connection of its set-up, else on any
-//! open one that usual viewers have used, else on the next to open.
+//! open one that usual viewers use, else on the next. One that only ever carried a test is none of those: whoever
+//! tests closes it at once, and what is written on it then is lost.
 
 use crate::lines::cause;
 use cloverhollow::ServerId;
@@ -26,7 +27,7 @@
 
 #[derive(Debug)]
 struct Session {
-    conn: Option<ConnId>,
+    conn: ConnId,
     state: State,
     /// The cause that its viewer is to be told, once it is over; `None`: it is owed no release.
     cause: Option<i64>,
@@ -40,8 +41,10 @@
 struct Conn {
     /// Set-ups whose answer is owed.
     open: BTreeSet<Sid>,
-    /// A usual viewer's: a session has stood on it, or it passed a test.
+    /// A usual viewer's: a session has stood on it.
     usual: bool,
+    /// Sessions that were set up on it and stand.
+    standing: usize,
     /// Anything whole was ever read on it.
     spoke: bool,
     /// It is being closed: nothing is written on it any more.
@@ -151,13 +154,8 @@
 
     /// A set-up is taken.
     pub fn ask(&mut self, sid: &Sid, conn: ConnId, viewer: ViewerId) {
-        let session = Session {
-            conn: Some(conn),
-            state: State::Asked(viewer),
-            cause: None,
-            held: false,
-            since: Duration::ZERO,
-        };
+        let session =
+            Session { conn, state: State::Asked(viewer), cause: None, held: false, since: Duration::ZERO };
         self.sessions.insert(sid.clone(), session);
         self.asked.insert(viewer, sid.clone());
         if let Some(c) = self.conns.get_mut(&conn) {
@@ -173,7 +171,7 @@
     ) -> Option<(ConnId, Sid)> {
         let sid = self.asked.remove(&viewer)?;
         let s = self.sessions.get_mut(&sid)?;
-        let conn = s.conn?;
+        let conn = s.conn;
         if let Some(c) = self.conns.get_mut(&conn) {
             c.open.remove(&sid);
         }
@@ -181,7 +179,7 @@
             Some((server, since)) => {
                 s.since = since;
                 (s.state, s.cause, s.held) = (State::Stands(server), Some(cause::RESET), true);
-                self.by_server.entry(server).or_default().insert(sid.clone());
+                self.stands(conn, server, &sid);
             }
             None => {
                 self.sessions.remove(&sid);
@@ -191,10 +189,17 @@
     }
 
     /// A session stands already, handed over at a start.
-    pub fn adopt(&mut self, sid: &Sid, server: ServerId, since: Duration) {
+    pub fn adopt(&mut self, sid: &Sid, conn: ConnId, server: ServerId, since: Duration) {
         let (state, cause) = (State::Stands(server), Some(cause::RESET));
-        self.sessions.insert(sid.clone(), Session { conn: None, state, cause, held: true, since });
+        self.sessions.insert(sid.clone(), Session { conn, state, cause, held: true, since });
+        self.stands(conn, server, sid);
+    }
+
+    fn stands(&mut self, conn: ConnId, server: ServerId, sid: &Sid) {
         self.by_server.entry(server).or_default().insert(sid.clone());
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.standing += 1;
+        }
     }
 
     fn give_up(&mut self, sid: &Sid) -> Option<ViewerId> {
@@ -206,7 +211,7 @@
 
     /// A viewer's TEARDOWN: it is owed nothing any more.
     pub fn left(&mut self, sid: &Sid) -> Left {
-        let conn = self.sessions.get(sid).and_then(|s| s.conn);
+        let conn = self.sessions.get(sid).map(|s| s.conn);
         if let Some(viewer) = self.give_up(sid) {
             if let Some(c) = conn.and_then(|conn| self.conns.get_mut(&conn)) {
                 c.open.remove(sid);
@@ -259,9 +264,14 @@
                 self.by_server.remove(&server);
             }
         }
+        if let Some(c) = self.conns.get_mut(&s.conn) {
+            c.standing -= 1;
+        }
         let cause = s.cause?;
-        let own = s.conn.filter(|c| self.conns.get(c).is_some_and(|c| !c.closing));
-        let any = || self.conns.iter().rev().find(|(_, c)| c.usual && !c.closing).map(|(id, _)| *id);
+        let own = Some(s.conn).filter(|c| self.conns.get(c).is_some_and(|c| !c.closing));
+        let usual = || self.conns.iter().rev().filter(|(_, c)| c.usual && !c.closing);
+        // One without a session may be closed by its viewer in the same instant.
+        let any = || usual().find(|(_, c)| c.standing > 0).or_else(|| usual().next()).map(|(id, _)| *id);
         match own.or_else(any) {
             Some(conn) => Some(Release { conn, sid: sid.clone(), cause }),
             None => {
