--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -260,6 +260,11 @@
         }
     }
 
+    /// How many servers it keeps: those of the list, and those that are gone while sessions are there.
+    pub fn servers(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Takes all events of one instant, news and ends before retries and calls; returns what to do, in order.
     pub fn step(&mut self, now: Duration, events: &[Event]) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -421,6 +426,8 @@
                 self.draw_turn(e.server);
             }
         }
+        // Ids of servers that are gone come never again.
+        self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.sessions.is_empty());
         self.size_links();
         self.looked = None;
     }
--- a/crates/decisions/tests/brain.rs
+++ b/crates/decisions/tests/brain.rs
@@ -820,3 +820,28 @@
     assert!(sent(ms(3000), ms(3000)) > 30, "the list must have told by now");
     assert!(sent(ms(0), ms(50)) > 30);
 }
+
+/// A long day: servers come and go under new ids. They filled the ledger, and those gone counted in the racks' sizes.
+#[test]
+fn servers_that_are_gone_for_good_are_let_go() {
+    let mut brain = Brain::new(settings(), 1);
+    let state = |server, state| Event::List(ListMode::Patch, vec![Entry { state, ..entry(server) }]);
+    for n in 1..500u64 {
+        let now = START + ms(n * 1000);
+        brain.step(now, &[state(n, Listed::Serving), state(n.saturating_sub(2), Listed::Gone)]);
+    }
+    assert_eq!(brain.servers(), 2);
+    // One where a session is stays until that has ended.
+    let request = Call { cells: 4, ..call(1, 1, START + ms(600_000)) };
+    let out = brain.step(START + ms(600_000), &[Event::Call(request)]);
+    let server = out.iter().find_map(|a| match a {
+        Action::Send(_, server, _) => Some(*server),
+        _ => None,
+    });
+    let server = server.expect("there is room");
+    brain.step(START + ms(600_010), &[state(498, Listed::Gone), state(499, Listed::Gone)]);
+    assert_eq!(brain.servers(), 1);
+    let ended = Event::Ended(1, 0, server, Outcome::Reset, true, Report::default());
+    brain.step(START + ms(600_020), &[ended, state(700, Listed::Serving)]);
+    assert_eq!(brain.servers(), 1, "the new one alone");
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -42,6 +42,8 @@
     pub mode: StartMode,
     /// The loopback address that all of it listens at.
     pub host: Ipv4Addr,
+    /// The fronts are session managers of the platform, and so is all round them.
+    pub platform: bool,
 }
 
 /// Why a day could not be played.
@@ -108,7 +110,11 @@
     for front in 0..script.fronts.count() {
         forget(&keep_file(&options.dir, front));
     }
-    let fleet = plan::fleet(script);
+    let mut fleet = plan::fleet(script);
+    if options.platform {
+        // Servers push: nobody has to fetch.
+        fleet.servers.values_mut().for_each(|s| s.active = Duration::MAX);
+    }
     let viewers = plan::viewers(script, &fleet);
     let log = Arc::new(Log::begin());
     let site = Arc::new(script.front.clone());
@@ -121,8 +127,11 @@
         object: script.viewers.object_ms.get(),
         bytes_per_kb: script.fleet.bytes_per_kb.get(),
         vary: script.fleet.vary.get(),
+        fronts: if options.platform { script.fronts.count() } else { 0 },
+        asked: Mutex::default(),
     });
     let discovery = Discovery::start(log.clone(), options.host).await.map_err(DayError::StandIn)?;
+    discovery.listen_for(world.fronts, options.host).await.map_err(DayError::StandIn)?;
     let servers = start_servers(&world, &discovery).await.map_err(DayError::StandIn)?;
     let command = FrontCommand {
         exe: options.exe.clone(),
@@ -135,6 +144,7 @@
         record: options.record,
         mode: options.mode,
         host: options.host,
+        platform: options.platform.then(|| (script.clone(), discovery.clone())),
     };
     let fronts = Arc::new(Fronts::new(command, log.clone()));
     for front in 0..fronts.count() {
@@ -148,7 +158,8 @@
     let shifted = shift(script, start);
     let mut tasks = JoinSet::new();
     tasks.spawn(keep_house(world.clone(), script.fleet.report_every_ms.get()));
-    let audience = Arc::new(Audience::new(shifted.clone(), fronts.clone(), log.clone(), start));
+    let audience = Audience::new(shifted.clone(), fronts.clone(), log.clone(), start);
+    let audience = Arc::new(Audience { platform: options.platform.then(|| world.clone()), ..audience });
     let stage = Arc::new(Stage {
         script: shifted,
         world: world.clone(),
@@ -174,7 +185,8 @@
     fronts.stop().await;
     drop(tasks);
     let exchanges = log.take();
-    let rules = rules::check(&exchanges, script);
+    let check = if options.platform { rules::check_platform } else { rules::check };
+    let rules = check(&exchanges, script);
     Ok(Outcome {
         day: script.name.as_str().into(),
         seed: script.seed.get(),
--- a/crates/lab/src/exchange.rs
+++ b/crates/lab/src/exchange.rs
@@ -75,6 +75,8 @@
     CallEnded { call: u64, sid: Arc<str>, got: Got },
     /// Bytes came on a viewer's connection that answer nothing.
     Stray { call: u64, sid: Arc<str> },
+    /// A viewer of the platform is told that its session is over.
+    Released { sid: Arc<str>, cause: i64 },
     /// A viewer's session is over as far as it is concerned.
     ViewerOver { sid: Arc<str> },
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -135,6 +135,7 @@
         record: false,
         mode,
         host: std::net::Ipv4Addr::LOCALHOST,
+        platform: false,
     };
     let undisturbed = play(&calm, &options(StartMode::LastList, "undisturbed")).await?;
     let reference = smooth(&undisturbed.score.seconds);
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -2,6 +2,8 @@
 
 use crate::exchange::{Log, Seen};
 use crate::policies::PolicyName;
+use crate::script::Script;
+use crate::standin::{config as config_of, front_host, Discovery};
 use cloverhollow_front::deeds_file;
 use rand::seq::SliceRandom;
 use rustix::process::{kill_process, Pid, Signal};
@@ -69,7 +71,7 @@
 const SEEDS: usize = 4;
 
 /// How fronts are started.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct FrontCommand {
     /// This program.
     pub exe: PathBuf,
@@ -91,6 +93,8 @@
     pub mode: StartMode,
     /// Where they listen.
     pub host: Ipv4Addr,
+    /// Where they are fronts of the platform: the day, and who tells its list.
+    pub platform: Option<(Script, Arc<Discovery>)>,
 }
 
 struct Slot {
@@ -130,11 +134,15 @@
         self.slots[front].lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn seed(&self, front: usize, starts: u64) -> u64 {
+        1 + (self.command.seed + front as u64 * 7_919 + starts * 104_729) % 1_000_000_007
+    }
+
     /// Its settings: the shared ones with its own name, seed, ports and files.
     fn settings(&self, front: usize, starts: u64) -> serde_json::Value {
         let c = &self.command;
         let mut s = c.settings.clone();
-        let seed = 1 + (c.seed + front as u64 * 7_919 + starts * 104_729) % 1_000_000_007;
+        let seed = self.seed(front, starts);
         s["instance"] =
             serde_json::json!({ "name": format!("front-{front}"), "fronts": c.fronts, "seed": seed });
         let any = SocketAddr::from((c.host, 0)).to_string();
@@ -195,11 +203,22 @@
             slot.starts
         };
         let config = c.dir.join(format!("front-{front}.yaml"));
-        std::fs::write(&config, self.settings(front, starts).to_string()).map_err(io)?;
+        let (word, text) = match &c.platform {
+            None => ("front", self.settings(front, starts)),
+            Some((script, discovery)) => {
+                let known = discovery.known(front, front_host(c.host, front));
+                let (seed, channel) = (self.seed(front, starts), discovery.address.port());
+                ("node", config_of(script, front, seed, c.host, channel, known))
+            }
+        };
+        std::fs::write(&config, text.to_string()).map_err(io)?;
         let log_path = c.dir.join(format!("front-{front}.log"));
         let log = std::fs::File::options().create(true).append(true).open(&log_path).map_err(io)?;
         let mut command = Command::new(&c.exe);
-        command.arg("front").arg("--config").arg(&config).arg("--policy").arg(c.policy.to_string());
+        command.arg(word).arg("--config").arg(&config);
+        if c.platform.is_none() {
+            command.arg("--policy").arg(c.policy.to_string());
+        }
         if c.record {
             command.arg("--record").arg(c.dir.join("records"));
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod standin;
 pub mod troubles;
 pub mod viewer;
+mod viewer_rtsp;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -48,6 +48,9 @@
         /// Has the fronts record each step.
         #[arg(long)]
         record: bool,
+        /// The fronts are session managers of the platform: RTSP, JSON lines, command channel.
+        #[arg(long)]
+        platform: bool,
         /// The loopback address (127.0.0.0/8) that all of it listens at.
         #[arg(long, default_value = "127.0.0.1", value_parser = loopback)]
         host: Ipv4Addr,
@@ -121,6 +124,14 @@
         #[arg(long)]
         deeds: bool,
     },
+    /// Runs one session manager of a day on the platform. Started by `day`.
+    #[command(hide = true)]
+    Node {
+        #[arg(long)]
+        config: PathBuf,
+        #[command(flatten)]
+        logs: Logs,
+    },
     /// Runs one front of a day. Started by `day`.
     #[command(hide = true)]
     Front {
@@ -145,6 +156,8 @@
     #[error(transparent)]
     Serve(#[from] ServeError),
     #[error(transparent)]
+    Node(#[from] cloverhollow_node::NodeError),
+    #[error(transparent)]
     Ranges(#[from] hunt::RangesError),
     #[error(transparent)]
     Hunt(#[from] hunt::HuntError),
@@ -175,6 +188,12 @@
 fn run(command: Command) -> Result<ExitCode, Failure> {
     let runtime = tokio::runtime::Runtime::new()?;
     match command {
+        Command::Node { config, logs } => {
+            logs.start();
+            let one = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            one.block_on(cloverhollow_node::run(config))?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Front { config, policy, record, logs } => {
             logs.start();
             let it = Serve { config, record };
@@ -237,7 +256,7 @@
             runtime.block_on(measure(Duration::from_secs(seconds), sessions, rate))?;
             Ok(ExitCode::SUCCESS)
         }
-        Command::Day { script, policy, seed, json, exchanges, dir, record, host, logs } => {
+        Command::Day { script, policy, seed, json, exchanges, dir, record, platform, host, logs } => {
             logs.start();
             let mut day = Day::load(&script)?;
             if let Some(seed) = seed {
@@ -251,6 +270,7 @@
                 record,
                 mode: StartMode::LastList,
                 host,
+                platform,
             };
             let outcome = runtime.block_on(play(&day, &options))?;
             if let Some(path) = exchanges {
--- /dev/null
+++ b/crates/lab/src/rules/ends.rs
@@ -0,0 +1,81 @@
+//! Rule 1, its other end: on the platform, a session that stood and is over is released towards its viewer.
+//!
+//! Within `TOLD` of its server's word where that could be given; a server that is gone says nothing, so within
+//! `UNTOLD` of its end then. Excused: a viewer that went by itself, a front that was killed or stood still
+//! meanwhile, and what ended too shortly before the log does. Allowed: `WAY`.
+
+use super::{Check, Outages, Verdict};
+use crate::exchange::{Exchange, Got, Seen};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TOLD: Duration = Duration::from_secs(1);
+const UNTOLD: Duration = Duration::from_secs(8);
+const WAY: Duration = Duration::from_millis(250);
+
+#[derive(Default)]
+struct Session {
+    front: usize,
+    /// It stands there for its viewer.
+    stands: bool,
+    server: u64,
+}
+
+pub(super) fn check(all: &[Exchange]) -> Verdict {
+    let mut check = Check::new(1, "every end told to its viewer in time");
+    let outages = Outages::of(all);
+    let last = all.last().map_or(Duration::ZERO, |e| e.at);
+    let mut sessions: BTreeMap<&Arc<str>, Session> = BTreeMap::new();
+    // What is owed: by when.
+    let mut owed: BTreeMap<&Arc<str>, (Duration, Duration)> = BTreeMap::new();
+    let mut late = Vec::new();
+    let mut released = BTreeSet::new();
+    for e in all {
+        match &e.seen {
+            Seen::Called { sid, front, .. } => sessions.entry(sid).or_default().front = *front,
+            Seen::SetupClosed { server, sid, status: Some(200) } => {
+                sessions.entry(sid).or_default().server = *server;
+            }
+            Seen::CallEnded { sid, got: Got::Status { status: 200, .. }, .. } => {
+                sessions.entry(sid).or_default().stands = true;
+            }
+            Seen::SessionEnded { sid, .. } if sessions.get(sid).is_some_and(|s| s.stands) => {
+                owed.entry(sid).or_insert((e.at, e.at + TOLD + WAY));
+            }
+            Seen::ServerDown { server } => {
+                for (sid, _) in sessions.iter().filter(|(_, s)| s.stands && s.server == *server) {
+                    owed.entry(sid).or_insert((e.at, e.at + UNTOLD + WAY));
+                }
+            }
+            Seen::Released { sid, .. } => {
+                released.insert(sid);
+                if let Some((from, by)) = owed.remove(sid) {
+                    late.push((sid, from, by, Some(e.at)));
+                }
+                sessions.entry(sid).or_default().stands = false;
+            }
+            Seen::ViewerOver { sid } => {
+                owed.remove(sid);
+                sessions.entry(sid).or_default().stands = false;
+            }
+            _ => {}
+        }
+    }
+    late.extend(owed.into_iter().map(|(sid, (from, by))| (sid, from, by, None)));
+    for (sid, from, by, at) in late {
+        if at.is_none() && by > last {
+            continue;
+        }
+        check.case();
+        let front = sessions.get(sid).map_or(0, |s| s.front);
+        let in_time = at.is_some_and(|at| at <= by);
+        if !in_time && !outages.touch(front, from, by) {
+            check.breach(from, || match at {
+                Some(at) => format!("session {sid} at front-{front}: told {} ms late", (at - by).as_millis()),
+                None => format!("session {sid} at front-{front}: its end was never told"),
+            });
+        }
+    }
+    check.verdict
+}
--- a/crates/lab/src/rules/mod.rs
+++ b/crates/lab/src/rules/mod.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod cold;
 mod drains;
+mod ends;
 mod ration;
 mod setups;
 mod terms;
@@ -67,6 +68,13 @@
     ]
 }
 
+/// Checks all rules, and that ends are told, as the platform asks.
+pub fn check_platform(all: &[Exchange], script: &Script) -> Vec<Verdict> {
+    let mut verdicts = check(all, script);
+    verdicts.push(ends::check(all));
+    verdicts
+}
+
 /// How many servers fell over.
 pub fn toppled(all: &[Exchange]) -> usize {
     all.iter().filter(|e| matches!(e.seen, Seen::ServerToppled { .. })).count()
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -146,3 +146,28 @@
     assert_eq!(broken(2, day(200)), 0);
     assert_eq!(broken(2, day(502)), 1, "it ran, nobody plays it, and one was told that it did not");
 }
+
+#[test]
+fn rule_1_every_end_is_told_to_its_viewer_in_time() {
+    let untold = |all| ends::check(&log(all)).broken;
+    let got = |status| Got::Status { status, reason: None };
+    let released = |at| (at, Seen::Released { sid: "a".into(), cause: 16 });
+    let day = |more: Vec<(u64, Seen)>| {
+        let answered = Seen::SetupClosed { server: 1, sid: "a".into(), status: Some(200) };
+        let mut all = vec![(0, UP), called(100, 1, "a"), setup(103, 1, "a"), (110, answered)];
+        all.push(ended(111, 1, "a", got(200)));
+        all.extend(more);
+        all.push((30_000, UP));
+        all
+    };
+    let end = || (5_000, Seen::SessionEnded { server: 1, sid: "a".into() });
+    let down = || (5_000, Seen::ServerDown { server: 1 });
+    assert_eq!(untold(day(vec![end(), released(5_010)])), 0);
+    assert_eq!(untold(day(vec![end(), released(7_000)])), 1, "later than after a second");
+    assert_eq!(untold(day(vec![end()])), 1, "never");
+    assert_eq!(untold(day(vec![down(), released(12_000)])), 0, "a server that is gone says nothing");
+    assert_eq!(untold(day(vec![down()])), 1);
+    let left = (4_000, Seen::ViewerOver { sid: "a".into() });
+    assert_eq!(untold(day(vec![left, end()])), 0, "it went by itself");
+    assert_eq!(untold(day(vec![end(), (5_100, DOWN)])), 0, "its front died");
+}
--- a/crates/lab/src/standin/discovery.rs
+++ b/crates/lab/src/standin/discovery.rs
@@ -22,9 +22,9 @@
 const MOST_BEHIND: usize = 1_024;
 
 #[derive(Clone)]
-struct Listed {
-    entry: ServerEntry,
-    started: Option<Duration>,
+pub(super) struct Listed {
+    pub(super) entry: ServerEntry,
+    pub(super) started: Option<Duration>,
 }
 
 struct State {
@@ -32,14 +32,26 @@
     servers: BTreeMap<u64, Listed>,
     /// Patches to leave out, so that subscribers see a gap.
     skip: u32,
+    /// All patches, for those who ask from a version on.
+    told: Vec<Patch>,
 }
 
 #[derive(Clone)]
-struct Patch {
+pub(super) struct Patch {
     after: u64,
-    version: u64,
-    servers: Vec<Listed>,
-    skipped: bool,
+    pub(super) version: u64,
+    pub(super) servers: Vec<Listed>,
+    pub(super) skipped: bool,
+}
+
+impl Patch {
+    /// Servers that take no new work, and those that do with their incarnation.
+    pub(super) fn states(&self) -> (Vec<u64>, Vec<(u64, u64)>) {
+        let of = |serving: bool| {
+            self.servers.iter().map(|l| &l.entry).filter(move |e| (e.state == WireState::Serving) == serving)
+        };
+        (of(false).map(|e| e.id).collect(), of(true).map(|e| (e.id, e.incarnation)).collect())
+    }
 }
 
 /// A stand-in discovery service.
@@ -63,13 +75,13 @@
         let listener = TcpListener::bind((host, 0)).await?;
         let d = Arc::new(Discovery {
             address: listener.local_addr()?,
-            state: Mutex::new(State { version: 1, servers: BTreeMap::new(), skip: 0 }),
+            state: Mutex::new(State { version: 1, servers: BTreeMap::new(), skip: 0, told: Vec::new() }),
             patches: broadcast::channel(MOST_BEHIND).0,
             up: watch::channel(true).0,
             first_after: Mutex::new(Duration::ZERO),
             log,
         });
-        tokio::spawn(d.clone().run(listener));
+        tokio::spawn(d.clone().run(listener, None));
         Ok(d)
     }
 
@@ -88,9 +100,47 @@
         let listed = Listed { entry, started };
         state.servers.insert(listed.entry.id, listed.clone());
         let patch = Patch { after, version: state.version, servers: vec![listed], skipped };
+        state.told.push(patch.clone());
         let _ = self.patches.send(patch); // nobody listens: the next whole list has it
     }
 
+    /// The whole list as one.
+    pub(super) fn whole(&self) -> Patch {
+        let state = self.state();
+        let servers = state.servers.values().cloned().collect();
+        Patch { after: 0, version: state.version, servers, skipped: false }
+    }
+
+    /// All patches after a version, those among them that were left out.
+    pub(super) fn since(&self, version: u64) -> Vec<Patch> {
+        self.state().told.iter().filter(|p| p.version > version).cloned().collect()
+    }
+
+    pub(super) fn subscribe(&self) -> broadcast::Receiver<Patch> {
+        self.patches.subscribe()
+    }
+
+    pub(super) fn now(&self) -> Duration {
+        self.log.now()
+    }
+
+    pub(super) fn put(&self, seen: Seen) {
+        self.log.put(seen);
+    }
+
+    /// Listens for the fronts of the platform too: each reaches it at an address of its own.
+    ///
+    /// # Errors
+    /// It cannot listen.
+    pub async fn listen_for(self: &Arc<Self>, fronts: usize, host: Ipv4Addr) -> std::io::Result<()> {
+        for front in 0..fronts {
+            let own = super::front_host(host, front);
+            let listener = TcpListener::bind((own, self.address.port())).await?;
+            tokio::spawn(self.clone().run(listener, Some((front, own))));
+        }
+        Ok(())
+    }
+
     /// What the list says of a server.
     pub fn entry(&self, server: u64) -> Option<ServerEntry> {
         self.state().servers.get(&server).map(|l| l.entry.clone())
@@ -111,7 +161,7 @@
         self.up.send_replace(up);
     }
 
-    async fn run(self: Arc<Self>, listener: TcpListener) {
+    async fn run(self: Arc<Self>, listener: TcpListener, own: Option<(usize, Ipv4Addr)>) {
         let mut up = self.up.subscribe();
         loop {
             let mut conns = JoinSet::new();
@@ -119,7 +169,7 @@
                 tokio::select! {
                     accepted = listener.accept() => {
                         if let Ok((stream, _)) = accepted {
-                            conns.spawn(self.clone().serve(stream));
+                            conns.spawn(self.clone().serve(stream, own));
                         }
                     }
                     _ = up.changed() => {}
@@ -136,9 +186,12 @@
         }
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
+    async fn serve(self: Arc<Self>, stream: TcpStream, own: Option<(usize, Ipv4Addr)>) {
         let mut conn: ServerConn = Framed::new(stream, ServerSide::new(Limits::default()));
         let Some(Ok(RequestFrame::Head(head))) = conn.next().await else { return };
+        if let Some((front, host)) = own {
+            return self.serve_channel(front, host, conn, head).await;
+        }
         let Ok(Some(_)) = read_body(&mut conn, 0).await else { return };
         let front = front_of(&head.headers);
         let mut out = ResponseHead::new(200, 0);
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -1,10 +1,13 @@
 //! Stand-ins over sockets: video servers and the discovery service. They speak HTTP, CMCD and CMSD as any
-//! other server would; what they do is the model's, what they do wrong the script's.
+//! other server would, or the platform's JSON lines and command channel; what they do is the model's, what they do wrong the script's.
 
 mod discovery;
+mod lines;
+mod platform;
 mod server;
 
 pub use discovery::Discovery;
+pub(crate) use platform::{config, front_host};
 pub use server::{Faults, Mode, ServerHandle, World};
 
 use cloverhollow_http::Headers;
--- a/crates/lab/src/standin/server.rs
+++ b/crates/lab/src/standin/server.rs
@@ -9,9 +9,10 @@
 use cloverhollow_hints::{Faults as HintFaults, Group};
 use cloverhollow_http::{Limits, Method, RequestFrame, RequestHead, ResponseHead};
 use cloverhollow_net::{answer, read_body, wait_closed, ServerConn, ServerSide};
-use cloverhollow_session::arrival::over;
+use cloverhollow_session::arrival::{over, rates};
 use cloverhollow_settings::FrontSettings;
 use futures_util::StreamExt;
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -40,6 +41,10 @@
     pub bytes_per_kb: f64,
     /// How far true rates lie above or below the ladder, by title.
     pub vary: f64,
+    /// Fronts that reach the servers by the platform's lines; 0: they speak HTTP.
+    pub fronts: usize,
+    /// Class and title of each session that a viewer of the platform has asked for.
+    pub asked: Mutex<HashMap<Arc<str>, (usize, String)>>,
 }
 
 impl World {
@@ -48,8 +53,24 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// A viewer of the platform asks for a session.
+    pub fn ask(&self, sid: &Arc<str>, class: usize, title: &str) {
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        asked.insert(sid.clone(), (class, title.to_owned()));
+    }
+
+    /// Class and title of a session, if a viewer of the platform has asked for it.
+    pub(super) fn asked(&self, sid: &str) -> Option<(usize, String)> {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner).get(sid).cloned()
+    }
+
+    /// A class's rate at a rung, kbps.
+    pub(super) fn kbps(&self, class: usize, rung: usize) -> u32 {
+        rates(&self.site, class).get(rung).copied().unwrap_or(0)
+    }
+
     /// What a title's sessions truly ask at that rate.
-    fn true_rate(&self, title: &str, kbps: u32) -> f64 {
+    pub(super) fn true_rate(&self, title: &str, kbps: u32) -> f64 {
         let part = f64::from(permille(title)) / 500.0 - 1.0;
         f64::from(kbps) / 8.0 * (1.0 + self.vary * part)
     }
@@ -90,10 +111,10 @@
 }
 
 /// One server's task.
-struct Standing {
-    id: u64,
-    world: Arc<World>,
-    faults: Arc<Faults>,
+pub(super) struct Standing {
+    pub(super) id: u64,
+    pub(super) world: Arc<World>,
+    pub(super) faults: Arc<Faults>,
     mode: watch::Receiver<Mode>,
     set_mode: watch::Sender<Mode>,
 }
@@ -158,6 +179,9 @@
             }
         }
         let mut conns = JoinSet::new();
+        if let (1.., Ok(address)) = (self.world.fronts, listener.local_addr()) {
+            conns.spawn(self.clone().live_by_lines(address.port()));
+        }
         let mut mode = self.mode.clone();
         loop {
             // Looked at here and not only on a change: one that came while a connection was accepted counts as
@@ -183,6 +207,24 @@
         // Dropping the set closes all connections, as a process's end does.
     }
 
+    /// Waits while the process stands still.
+    pub(super) async fn runs(&self) {
+        let _ = self.mode.clone().wait_for(|m| *m == Mode::Up).await;
+    }
+
+    /// It falls over.
+    pub(super) fn topple(&self) {
+        self.world.log.put(Seen::ServerToppled { server: self.id });
+        self.set_mode.send_replace(Mode::Down);
+    }
+
+    /// Time that a set-up takes now.
+    pub(super) fn takes(&self) -> Duration {
+        let fleet = self.world.fleet();
+        let ageing = fleet.servers.get(&self.id).map_or(Duration::ZERO, |s| s.facts.setup.mul_f64(s.ageing));
+        ageing + Duration::from_millis(self.faults.late_ms.load(Relaxed))
+    }
+
     /// Waits while the process stands still; whether the peer is there afterwards.
     async fn thawed(&self, conn: &ServerConn) -> bool {
         let mut mode = self.mode.clone();
@@ -275,8 +317,7 @@
             return self.say(conn, 503, hop, 0).await;
         }
         if verdict == SetupVerdict::Topples {
-            self.world.log.put(Seen::ServerToppled { server });
-            self.set_mode.send_replace(Mode::Down);
+            self.topple();
             return None;
         }
         let draw = permille(&sid);
@@ -291,15 +332,8 @@
             }
             return self.say(conn, 500, self.hop(kbps), 0).await;
         }
-        let ageing = self
-            .world
-            .fleet()
-            .servers
-            .get(&self.id)
-            .map_or(Duration::ZERO, |s| s.facts.setup.mul_f64(s.ageing));
-        let takes = ageing + Duration::from_millis(self.faults.late_ms.load(Relaxed));
         tokio::select! {
-            () = tokio::time::sleep(takes) => {}
+            () = tokio::time::sleep(self.takes()) => {}
             () = wait_closed(conn) => return None,
         }
         if !self.thawed(conn).await {
@@ -357,11 +391,11 @@
 }
 
 /// Takes down that a set-up's exchange ended, however it does.
-struct OpenSetup {
-    log: Arc<Log>,
-    server: u64,
-    sid: Arc<str>,
-    status: Option<u16>,
+pub(super) struct OpenSetup {
+    pub(super) log: Arc<Log>,
+    pub(super) server: u64,
+    pub(super) sid: Arc<str>,
+    pub(super) status: Option<u16>,
 }
 
 impl Drop for OpenSetup {
@@ -371,6 +405,16 @@
     }
 }
 
+/// That address, as soon as it can be had.
+pub(super) async fn bind_at(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// The port that it had; another one where that is taken meanwhile.
 async fn bind_again(address: &watch::Sender<SocketAddr>) -> TcpListener {
     let old = *address.borrow();
@@ -407,6 +451,8 @@
             object: Duration::from_secs(1),
             bytes_per_kb: 1.0,
             vary: 0.0,
+            fronts: 0,
+            asked: Mutex::default(),
         };
         let server = ServerHandle::start(101, Arc::new(world)).await.unwrap();
         // On this one thread the server's task has not run yet: it finds the change already made.
--- a/crates/lab/src/viewer.rs
+++ b/crates/lab/src/viewer.rs
@@ -5,6 +5,7 @@
 use crate::plan::{HintStyle, Viewer};
 use crate::score::Tally;
 use crate::script::Script;
+use crate::standin::World;
 use bytes::Bytes;
 use cloverhollow_hints::cmcd::{
     EventKind, Format, Kbps, Millis, ObjectType, PlayState, Record, StreamType, QUERY, REPORT_TYPE,
@@ -22,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Time for a connection to a front.
-const CONNECT: Duration = Duration::from_secs(1);
+pub(crate) const CONNECT: Duration = Duration::from_secs(1);
 /// Longest time for a later object; a player's buffer is empty by then.
 const OBJECT: Duration = Duration::from_secs(6);
 /// Most bytes of an object.
@@ -38,11 +39,13 @@
     pub log: Arc<Log>,
     /// Worth and latencies.
     pub tally: Tally,
-    next_call: AtomicU64,
+    /// Where the fronts are the platform's: the servers' side, which knows what was asked for.
+    pub platform: Option<Arc<World>>,
+    pub(crate) next_call: AtomicU64,
 }
 
 /// How one try at a session ended.
-enum Try {
+pub(crate) enum Try {
     /// Watched to its end, or given up for good.
     Done,
     /// Comes again, not before this.
@@ -85,7 +88,7 @@
     /// For a day that begins at `start` on the log's clock.
     pub fn new(script: Script, fronts: Arc<Fronts>, log: Arc<Log>, start: Duration) -> Self {
         let tally = Tally::new(&script, start);
-        Audience { script, fronts, log, tally, next_call: AtomicU64::new(1) }
+        Audience { script, fronts, log, tally, platform: None, next_call: AtomicU64::new(1) }
     }
 
     fn front(&self, v: &Viewer, rng: &mut ChaCha8Rng, tries: u32) -> usize {
@@ -111,7 +114,11 @@
         while self.log.now() < end {
             let front = last.unwrap_or_else(|| self.front(&v, &mut rng, tries));
             let sid: Arc<str> = format!("s{}-{tries}", v.id).into();
-            let after = match self.clone().session(&v, &sid, front).await {
+            let tried = match &self.platform {
+                None => self.clone().session(&v, &sid, front).await,
+                Some(world) => self.session_by_rtsp(&v, tries, front, world).await,
+            };
+            let after = match tried {
                 Try::Done => return,
                 Try::Again(after) => after,
                 Try::Lost if v.resends && resent < RESENDS => {
@@ -331,4 +338,4 @@
 }
 
 /// A viewer's own time ends a little after its patience, so that a late answer is seen as one.
-const LATE: Duration = Duration::from_millis(500);
+pub(crate) const LATE: Duration = Duration::from_millis(500);
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -344,6 +344,7 @@
         if hold.is_some_and(|l| l.hold.write(line.clone())) {
             return;
         }
+        self.watch.stands(self.clock.now(), server); // it is connected to for these lines
         let waiting = self.waiting.entry(server).or_default();
         waiting.push(line);
         if waiting.len() > MOST_WAITING {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -66,6 +66,9 @@
     let hup = sig(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|source| NodeError::Listen { address: config.listen, source })?;
+    let address = listener.local_addr().unwrap_or(config.listen);
+    // For whoever started it with port 0, as tests do.
+    println!("{{\"address\":\"{address}\"}}");
     let (mail, mails) = mpsc::channel(MOST_MAILS);
     let (from, heard) = watch::channel(From { address: config.channel, cursor: 0, anew: 0 });
     let Config { site, seed, room, known, name, .. } = config;
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -65,7 +65,7 @@
     let mut json = serde_json::Deserializer::from_str(text);
     let raw: Raw = serde_path_to_error::deserialize(&mut json).map_err(|e| {
         let path = e.path().to_string();
-        fault(if path == "." { "file" } else { &path }, e.inner().to_string())
+        fault(if matches!(&*path, "." | "?") { "file" } else { &path }, e.inner().to_string())
     })?;
     let seed = u64::from_str_radix(&raw.seed, 16);
     let seed = seed.map_err(|_| fault("seed", format!("`{}` is not 1 to 16 hex digits", raw.seed)))?;
--- a/crates/platform/src/rtsp.rs
+++ b/crates/platform/src/rtsp.rs
@@ -241,7 +241,19 @@
 
 /// Puts a request together.
 pub fn request(method: Method, uri: &str, cseq: &str, session: &str, headers: &[(&str, String)]) -> Bytes {
-    message(&format!("{} {uri} RTSP/1.0", method.name()), cseq, Some(session), headers, b"")
+    request_with(method, uri, cseq, session, headers, b"")
+}
+
+/// Puts a request with a description together.
+pub fn request_with(
+    method: Method,
+    uri: &str,
+    cseq: &str,
+    session: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> Bytes {
+    message(&format!("{} {uri} RTSP/1.0", method.name()), cseq, Some(session), headers, body)
 }
 
 fn message(first: &str, cseq: &str, session: Option<&str>, headers: &[(&str, String)], body: &[u8]) -> Bytes {
--- /dev/null
+++ b/crates/platform/tests/codecs.rs
@@ -0,0 +1,131 @@
+//! Bytes in, messages out: whole, in pieces, and what no message is.
+
+use bytes::{Bytes, BytesMut};
+use cloverhollow_platform::{lines, rtsp};
+use proptest::prelude::*;
+
+const SETUP: &str =
+    "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: 9b1f03aa5c7e2d41\r\n\
+                     X-Service: paid\r\nContent-Length: 5\r\n\r\nv=0\r\n";
+
+fn setup(head: &str) -> BytesMut {
+    format!("SETUP rtsp://media/1 RTSP/1.0\r\nCSeq: 1\r\nSession: 9b1f03aa5c7e2d41\r\n{head}\r\n\r\n")
+        .as_str()
+        .into()
+}
+
+#[test]
+fn messages_come_whole_whatever_the_pieces() {
+    let twice = SETUP.repeat(2);
+    for size in 1..twice.len() {
+        let (mut buf, mut found) = (BytesMut::new(), Vec::new());
+        for piece in twice.as_bytes().chunks(size) {
+            buf.extend_from_slice(piece);
+            while let Some(m) = rtsp::decode(&mut buf).unwrap() {
+                found.push(m);
+            }
+        }
+        assert_eq!((found.len(), buf.len()), (2, 0), "pieces of {size}");
+        assert_eq!(found[0].body, "v=0\r\n");
+        assert_eq!(found[1].header("session"), Some("9b1f03aa5c7e2d41"));
+    }
+}
+
+#[test]
+fn lengths_that_cannot_be_trusted_are_refused_with_their_addressee() {
+    let bad = [
+        "Content-Type: x",
+        "Content-Length: 5\r\nContent-Length: 5",
+        "Content-Length: -1",
+        "Content-Length: +5",
+        "Content-Length: 5 5",
+        "Content-Length:",
+        "Content-Length: 0x10",
+    ];
+    for head in bad {
+        let error = rtsp::decode(&mut setup(head)).unwrap_err();
+        assert!(matches!(error, rtsp::Malformed::Syntax { .. }), "{head}: {error}");
+        assert_eq!(error.addressee().session.as_deref(), Some("9b1f03aa5c7e2d41"), "{head}");
+    }
+    for head in
+        ["Content-Length: 60000000", "Content-Length: 99999999999999999999999999", "Content-Length: 16384"]
+    {
+        let error = rtsp::decode(&mut setup(head)).unwrap_err();
+        assert!(matches!(error, rtsp::Malformed::TooLong(_)), "{head}: refused by its head");
+    }
+}
+
+#[test]
+fn what_can_not_begin_a_message_is_refused_before_it_ends() {
+    for bad in ["GET / HTTP/1.1\r\n", "\u{0}\u{1}", "SETUPx", "setup "] {
+        assert!(rtsp::decode(&mut bad.into()).is_err(), "{bad:?}");
+    }
+    for part in ["", "S", "SETUP rtsp://media/1", "RTSP/1.0 2", "\r\n\r\nTEAR"] {
+        assert_eq!(rtsp::decode(&mut part.into()), Ok(None), "{part:?}");
+    }
+    let endless = "SETUP rtsp://media/".to_owned() + &"x".repeat(rtsp::MOST_MESSAGE);
+    assert!(matches!(rtsp::decode(&mut endless.as_str().into()), Err(rtsp::Malformed::TooLong(_))));
+    let many = "A: 1\r\n".repeat(100) + "Content-Length: 0";
+    assert!(rtsp::decode(&mut setup(&many)).is_err());
+    assert!(rtsp::decode(&mut setup("no name\r\nContent-Length: 0")).is_err());
+    let mut noise = BytesMut::from("SETUP rtsp://media/1 RTSP/1.0\r\nA: ");
+    noise.extend_from_slice(b"\xff\xfe\r\n\r\n");
+    assert!(rtsp::decode(&mut noise).is_err());
+}
+
+#[test]
+fn what_is_written_can_be_read() {
+    let wait = [("Retry-After-Ms", "700".to_owned())];
+    let mut buf = BytesMut::from(&rtsp::response(503, "1", Some("9b1f03aa5c7e2d41"), &wait, b"")[..]);
+    let m = rtsp::decode(&mut buf).unwrap().unwrap();
+    assert_eq!(m.start, rtsp::Start::Response { status: 503 });
+    assert_eq!((m.header("Retry-After-Ms"), &m.body), (Some("700"), &Bytes::new()));
+    let start = lines::Line { blob: Some("a\r\n\"b\"".into()), ..lines::Line::new(lines::Verb::Start, "9b") };
+    let start = start.with("class", "paid").with("left", 1500);
+    assert_eq!(
+        start.encode(),
+        "{\"verb\":\"START\",\"tag\":\"9b\",\"opts\":{\"class\":\"paid\",\"left\":\"1500\"},\"blob\":\"a\\r\\n\\\"b\\\"\"}\n"
+    );
+    assert_eq!(lines::decode(&mut BytesMut::from(&start.encode()[..])), Ok(Some(start)));
+}
+
+#[test]
+fn lines_are_bounded_and_fields_are_text_or_numbers() {
+    let good =
+        "{\"verb\":\"FINISH\",\"tag\":\"9b\",\"opts\":{\"load\":\"x0:0.4\",\"value\":2.5},\"rc\":34}\n{";
+    let mut buf = BytesMut::from(good);
+    let line = lines::decode(&mut buf).unwrap().unwrap();
+    assert_eq!((line.rc, line.field("load"), line.field("value")), (Some(34), Some("x0:0.4"), Some("2.5")));
+    assert_eq!(lines::decode(&mut buf), Ok(None));
+    let bad = [
+        "\n",
+        "noise\n",
+        "{\"verb\":\"FINISH\"}\n",
+        "{\"verb\":\"OTHER\",\"tag\":\"9b\"}\n",
+        "{\"verb\":\"FINISH\",\"tag\":\"9b\",\"opts\":{\"load\":[1]}}\n",
+        "{\"verb\":\"FINISH\",\"tag\":\"9b\",\"rc\":1e99}\n",
+        "{\"verb\":\"FINISH\",\"tag\":9}\n",
+    ];
+    for bad in bad {
+        assert!(lines::decode(&mut bad.into()).is_err(), "{bad}");
+    }
+    assert_eq!(
+        lines::decode(&mut BytesMut::from(&[b'x'; lines::MOST_LINE][..])),
+        Err(lines::BadLine::TooLong)
+    );
+}
+
+proptest! {
+    /// No bytes make a codec fail otherwise than by its error, or take more than it holds.
+    #[test]
+    fn noise_is_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300), cut in 0usize..150) {
+        let mut noisy = SETUP.as_bytes().to_vec();
+        noisy.splice(cut.min(noisy.len()).., bytes.clone());
+        for input in [&bytes, &noisy] {
+            let mut buf = BytesMut::from(&input[..]);
+            while let Ok(Some(_)) = rtsp::decode(&mut buf) {}
+            let mut buf = BytesMut::from(&input[..]);
+            while let Ok(Some(_)) = lines::decode(&mut buf) {}
+        }
+    }
+}
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -72,6 +72,16 @@
     ask: A,
 }
 
+/// How many of each are kept: flat over the months, or there is a leak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs)] // the names say it
+pub struct Kept {
+    pub servers: usize,
+    pub gauges: usize,
+    pub sessions: usize,
+    pub timers: usize,
+}
+
 /// Called with each step of the decision module: the time, its events, its actions.
 pub type Tap = Box<dyn FnMut(Duration, &[Event], &[Action]) + Send>;
 
@@ -157,6 +167,16 @@
         self.sessions.len()
     }
 
+    /// How much is kept of what comes and goes.
+    pub fn kept(&self) -> Kept {
+        Kept {
+            servers: self.list.len(),
+            gauges: self.gauges.len(),
+            sessions: self.sessions.len(),
+            timers: self.timers.len(),
+        }
+    }
+
     /// When [`Core::step`] must be called next though nothing has come in.
     pub fn next_due(&self) -> Option<Duration> {
         if self.events.is_empty() {
@@ -618,6 +638,22 @@
             let out: Vec<_> = self.out_at.range((server, low)..=(server, high)).map(|(_, a)| *a).collect();
             out.into_iter().for_each(|attempt| self.recall(attempt, RecallWhy::Drained));
         }
+        self.let_go();
+    }
+
+    /// Lets go of what is kept of servers that are gone for good. One where a session is stays.
+    fn let_go(&mut self) {
+        if !self.list.holds_gone() {
+            return;
+        }
+        let at = |s: &Session<A>| match &s.phase {
+            Phase::Deciding => None,
+            Phase::Out { server, .. } => Some(*server),
+            Phase::Playing { route, .. } => Some(route.server),
+        };
+        let used: BTreeSet<ServerId> = self.sessions.values().filter_map(at).collect();
+        self.list.let_go(|server| used.contains(&server));
+        self.gauges.retain(|server, _| self.list.address(*server).is_some());
     }
 
     // ---- The module's actions ----
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -23,7 +23,7 @@
 mod timers;
 mod types;
 
-pub use crate::core::{Core, Tap};
+pub use crate::core::{Core, Kept, Tap};
 pub use gauge::Gauge;
 pub use learn::Shelf;
 pub use list::{
--- a/crates/session/src/list.rs
+++ b/crates/session/src/list.rs
@@ -249,13 +249,26 @@
                 started,
             });
         }
-        // Servers that are gone for good would fill the list over the months.
-        if self.servers.len() > MOST_SERVERS {
-            self.servers.retain(|_, k| k.entry.state != WireState::Gone);
-        }
         out
     }
 
+    /// Lets servers go that are gone for good and that nobody `uses`: each has an id of its own, and they would
+    /// fill the list over the months.
+    pub fn let_go(&mut self, uses: impl Fn(ServerId) -> bool) {
+        self.servers.retain(|id, k| k.entry.state != WireState::Gone || uses(*id));
+    }
+
+    /// How many servers it holds, those that are gone among them.
+    #[allow(clippy::len_without_is_empty)] // nobody asks
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether a server that is gone is still held.
+    pub fn holds_gone(&self) -> bool {
+        self.servers.values().any(|k| k.entry.state == WireState::Gone)
+    }
+
     /// When a process started. Each message tells it anew as an age, some milliseconds off: for a start that
     /// is known already the first word stays, else each message would look like a restart.
     fn started(&self, now: Duration, e: &ServerEntry) -> Duration {
--- a/crates/session/src/timers.rs
+++ b/crates/session/src/timers.rs
@@ -30,6 +30,10 @@
         self.next += 1;
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.armed.len()
+    }
+
     pub(crate) fn first(&self) -> Option<Duration> {
         self.armed.first_key_value().map(|((at, _), _)| *at)
     }
