A set-up that no server can serve rests none; of servers alike the own zone's goes first

The log shows one session after the other erring at three servers within 0.3 ms, each of which then rested for a second or more and took no paid set-up before a trial. At fault: brain.rs `ended`, which took any error as the server's.

- An error counts against a server only if its last answer was one too, and only a request's first one; a request is not sent again to where it got an error.
- Rooms that differ by less than reports are noisy (0.04) are alike, and then the own zone goes first ("ties at random" in the design; the smallest departure that looks at zones).
Entry gains `far`.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -30,6 +30,8 @@
 const TRY_PART: f64 = 0.5;
 /// Time between notes of short delivery (the wire's own).
 const NOTE_GAP: Duration = Duration::from_secs(1);
+/// Rooms that differ by less are alike, as noisy as reports are: then the own zone goes first.
+const ALIKE: f64 = 0.04;
 /// What stands in for zero where a size is divided by.
 const TINY: f64 = 1e-9;
 /// The timer token for asking for the list again.
@@ -133,6 +135,8 @@
     /// It was seen to fail in a way that may mean a restart: cold when it returns.
     lost: bool,
     fails: u32,
+    /// The last answer was an error, the one before was none.
+    erred: bool,
     rest_until: Duration,
     trial: bool,
     /// When short delivery was last noted, if that was the last note of it.
@@ -197,6 +201,8 @@
     state: State,
     rung: usize,
     attempts: u32,
+    /// Where its last attempt got an error.
+    erred_at: Option<ServerId>,
     /// An attempt may have run.
     ran: bool,
     /// Nothing is owed any more.
@@ -545,6 +551,18 @@
         self.doubt = now + before.late.min(self.set.rules.cold);
     }
 
+    /// An error may be the request's own fault, which no server can serve: it tells of the server only where its
+    /// last answer was an error too, and a request's further errors tell nothing. Guards against a client by
+    /// whose set-ups all servers would rest. Costs one set-up more at a server that has begun to err.
+    fn erred(&mut self, request: RequestId, server: ServerId) {
+        let first = self.sessions.get_mut(&request).and_then(|s| s.erred_at.replace(server)).is_none();
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.trial = false;
+        if (first && std::mem::replace(&mut s.erred, true)) || s.fails > 0 {
+            self.failed(server, false, "errors");
+        }
+    }
+
     fn failed(&mut self, server: ServerId, lost: bool, why: &str) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -566,7 +584,7 @@
     fn worked(&mut self, server: ServerId) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.trial = false;
+        (s.trial, s.erred) = (false, false);
         if s.lost {
             s.lost = false;
             s.cold_since = s.cold_since.max(Some(now));
@@ -604,10 +622,14 @@
         }
         let floor = class.floor;
         self.look_round();
-        let holders = self.servers.iter().filter(|(_, s)| self.usable(call, s));
+        let erred_at = self.sessions.get(&call.request).and_then(|s| s.erred_at);
+        let holders = self.servers.iter().filter(|(id, s)| erred_at != Some(**id) && self.usable(call, s));
         let mut rooms: Vec<_> = holders.map(|(id, s)| (self.use_of(s), *id)).collect();
         self.rng.shuffle(&mut rooms); // ties at random
-        rooms.sort_by(|a, b| a.0.link.max(a.0.rack).total_cmp(&b.0.link.max(b.0.rack)));
+        let order = |(used, id): &(Use, ServerId)| {
+            used.link.max(used.rack) + if self.servers[id].entry.far { ALIKE } else { 0.0 }
+        };
+        rooms.sort_by(|a, b| order(a).total_cmp(&order(b)));
         rooms.into_iter().find_map(|(used, id)| {
             let fits = |rung: &usize| self.fits(call, *rung, &self.servers[&id], &used);
             (floor..=top).rev().find(fits).map(|rung| (id, rung))
@@ -819,7 +841,7 @@
         // One late answer may be a jam; a second before anything worked is silence.
         let silent = self.servers.get(&server).is_some_and(|s| s.fails > 0);
         match outcome {
-            Outcome::Error => self.failed(server, false, "errors"),
+            Outcome::Error => self.erred(request, server),
             Outcome::ConnectFailed => self.failed(server, true, "no connection"),
             Outcome::Reset => self.failed(server, true, "connection lost"),
             Outcome::Timeout => self.failed(server, silent, "no answer"),
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -174,6 +174,8 @@
     pub state: Listed,
     /// When it last started; zero: long ago.
     pub started: Duration,
+    /// It stands in another zone than the front: what crosses has its price.
+    pub far: bool,
 }
 
 /// How a piece of list news is to be read.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,7 +30,7 @@
 //! let mut brain = Brain::new(settings, 7);
 //! let now = Duration::from_secs(100);
 //! let server = Entry {
-//!     server: 1, cell: 0, kind: 0, weight: 1.0, state: Listed::Serving, started: Duration::ZERO,
+//!     server: 1, weight: 1.0, state: Listed::Serving, ..Entry::default()
 //! };
 //! let call = Call { request: 42, top: 1, deadline: now + Duration::from_secs(3), ..Call::default() };
 //! let actions = brain.step(now, &[Event::List(ListMode::Stale, vec![server]), Event::Call(call)]);
--- a/crates/decisions/tests/brain.rs
+++ b/crates/decisions/tests/brain.rs
@@ -53,7 +53,7 @@
 }
 
 fn entry(server: ServerId) -> Entry {
-    Entry { server, cell: server, kind: 0, weight: 1.0, state: Listed::Serving, started: Duration::ZERO }
+    Entry { server, cell: server, kind: 0, weight: 1.0, state: Listed::Serving, ..Entry::default() }
 }
 
 fn whole(servers: u64) -> Event {
@@ -845,3 +845,58 @@
     brain.step(START + ms(600_020), &[ended, state(700, Listed::Serving)]);
     assert_eq!(brain.servers(), 1, "the new one alone");
 }
+
+/// Seen on sockets: a client's set-ups that no server can serve had every server rest, one after the other.
+#[test]
+fn a_set_up_that_no_server_can_serve_rests_none() {
+    let mut brain = Brain::new(settings(), 3);
+    brain.step(START, &[whole(4)]);
+    let mut at = Vec::new();
+    for n in 1..=20 {
+        let mut out = brain.step(START + ms(n * 10), &[Event::Call(call(n, 1, START))]);
+        let mut own = Vec::new();
+        for attempt in 0.. {
+            let Some((_, server)) = sends(&out).first().copied() else { break };
+            own.push(server);
+            out = brain.step(START + ms(n * 10), &[ended(n, attempt, server, Outcome::Error)]);
+        }
+        assert!(own.windows(2).all(|w| w[0] != w[1]), "not sent again to where it got an error: {own:?}");
+        at.extend(own);
+        // Others are served meanwhile, at all servers.
+        for good in n * 100..n * 100 + 16 {
+            let out = brain.step(START + ms(n * 10 + 5), &[Event::Call(call(good, 0, START))]);
+            let (_, server) = sends(&out)[0];
+            brain.step(START + ms(n * 10 + 6), &[Event::Playing(good, 0, server, ms(1))]);
+            let done = Event::Ended(good, 0, server, Outcome::Ok, true, Report::default());
+            brain.step(START + ms(n * 10 + 7), &[done]);
+        }
+    }
+    let everywhere: BTreeSet<_> = at[30..].iter().collect();
+    assert!(at.len() > 40 && everywhere.len() == 4, "none rests: {at:?}");
+}
+
+#[test]
+fn a_server_that_errs_at_one_request_after_the_other_rests() {
+    let mut brain = Brain::new(settings(), 3);
+    brain.step(START, &[whole(1)]);
+    for n in 1..=2 {
+        let out = brain.step(START + ms(n), &[Event::Call(call(n, 0, START))]);
+        let (_, server) = sends(&out)[0];
+        brain.step(START + ms(n), &[ended(n, 0, server, Outcome::Error)]);
+    }
+    let out = brain.step(START + ms(3), &[Event::Call(call(3, 1, START))]);
+    assert!(sends(&out).is_empty(), "two in a row, by two requests");
+}
+
+#[test]
+fn of_servers_alike_one_in_the_own_zone_is_picked_and_a_fuller_one_is_not() {
+    for seed in 0..20 {
+        let mut brain = Brain::new(settings(), seed);
+        let far = |server| Entry { far: server != 2, ..entry(server) };
+        brain.step(START, &[Event::List(ListMode::Stale, (0..4).map(far).collect())]);
+        let out = brain.step(START + ms(1), &[Event::Call(call(1, 1, START))]);
+        assert_eq!(sends(&out), [(1, 2)]);
+        let out = brain.step(START + ms(2), &[Event::Call(call(2, 1, START))]);
+        assert_ne!(sends(&out), [(2, 2)], "it has a session by now");
+    }
+}
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -23,6 +23,8 @@
 struct WireEntry {
     server: u64,
     #[serde(default)]
+    az: String,
+    #[serde(default)]
     class_of_host: String,
     #[serde(default)]
     slot_no: u64,
@@ -140,6 +142,7 @@
                 weight: e.nominal.unwrap_or(1.0),
                 state: state(&e.mode)?,
                 started: span(e.boot_time.unwrap_or(0.0)),
+                far: e.az != names.zone,
             })
         })
         .collect()
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -558,6 +558,7 @@
                 if let Some((server, _)) = stands {
                     self.watch.stands(now, server);
                 }
+                tracing::debug!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
                 let text = viewer::answer(&sid, &answer, |description| description.clone().into());
                 self.write(conn, text);
                 if stands.is_some() {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -131,6 +131,7 @@
         // Rates in kbps are for players' hints, which the platform has none of.
         rates: s.classes.iter().map(|_| Arc::from([])).collect(),
         kinds: site.names.kinds.clone(),
+        hall: site.names.zone.clone(),
         hold_off: s.limits.hold_off,
         margin: MARGIN,
         most: MOST_SESSIONS,
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -43,6 +43,8 @@
     tenants: Vec<WireTenant>,
     #[serde(default)]
     weights: String,
+    #[serde(default)]
+    zone: String,
 }
 
 #[derive(Deserialize, Default)]
@@ -118,6 +120,8 @@
     pub tenants: Vec<String>,
     /// Of the kinds of servers.
     pub kinds: Vec<String>,
+    /// Of the front's own zone.
+    pub zone: String,
 }
 
 /// What the settings say.
@@ -196,6 +200,7 @@
         classes: w.grades.into_iter().map(|g| g.name).collect(),
         tenants: w.tenants.into_iter().map(|t| t.name).collect(),
         kinds: w.kinds,
+        zone: w.zone,
     };
     Ok(Site { settings, names, deadlines, connect_timeout, idle_close })
 }
--- a/crates/record/src/forms.rs
+++ b/crates/record/src/forms.rs
@@ -77,6 +77,8 @@
     #[serde(with = "ListedForm")]
     state: Listed,
     started: Duration,
+    #[serde(default)]
+    far: bool,
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/session/src/list.rs
+++ b/crates/session/src/list.rs
@@ -247,6 +247,7 @@
                     WireState::Gone => Listed::Gone,
                 },
                 started,
+                far: e.hall != terms.hall,
             });
         }
         out
--- a/crates/session/src/terms.rs
+++ b/crates/session/src/terms.rs
@@ -40,6 +40,8 @@
     pub rates: Vec<Arc<[u32]>>,
     /// Names of the kinds of servers.
     pub kinds: Vec<String>,
+    /// The hall that this front stands in.
+    pub hall: String,
     /// What the core itself asks a refused viewer to wait.
     pub hold_off: Duration,
     /// An answer is given so long before the viewer's time is up.
@@ -70,6 +72,7 @@
                 .collect(),
             rates: (0..classes.len()).map(|c| arrival::rates(s, c).into()).collect(),
             kinds: s.fleet.kinds.iter().map(|k| k.name.as_str().to_owned()).collect(),
+            hall: s.instance.hall.as_str().to_owned(),
             hold_off: s.limits.hold_off_ms.get(),
             margin: s.sessions.margin_ms.get(),
             most: s.sessions.most.count(),
--- a/crates/session/src/types.rs
+++ b/crates/session/src/types.rs
@@ -330,6 +330,17 @@
     },
 }
 
+impl<B> Answer<B> {
+    /// As a token for logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Stream { .. } => "plays",
+            Answer::Follow(_) => "follow",
+            Answer::Refused { reason, .. } | Answer::Failed { reason, .. } => reason.token(),
+        }
+    }
+}
+
 /// What the shell is to do, in order.
 #[derive(Debug)]
 pub enum Command<A, B> {
