New connections have time to speak; what is open on a bad one fails at once; tighter bounds

One at a server that is not listed is released at once; it was passed over, and its viewer never told. - Mails to the desk 512 (4,096 of 16 KiB each are over the memory of a small node), events 1 MiB, sessions 16,384. - Configuration faults as a process: exit 2, one line.

--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -89,3 +89,24 @@
     let said = String::from_utf8_lossy(&out.stdout);
     assert!(out.status.success() && said.contains("the same actions came out"), "{said}");
 }
+
+#[test]
+fn a_wrong_node_config_exits_2_and_names_file_and_field() {
+    let file = folder("node").join("config.json");
+    let path = file.display().to_string();
+    let node = |text: &str| {
+        std::fs::write(&file, text).unwrap();
+        let out =
+            Command::new(env!("CARGO_BIN_EXE_cloverhollow")).arg("node").env("NODE_CONFIG", &path).output();
+        let out = out.unwrap();
+        assert_eq!(out.status.code(), Some(2));
+        String::from_utf8_lossy(&out.stderr).into_owned()
+    };
+    assert!(node("{").contains(&format!("{path}: file: ")));
+    let text = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"x","limits":{"sockets":256},"channel":"127.0.0.1:1","known":{},"settings":{}}"#;
+    let said = node(text);
+    assert!(said.contains(&format!("{path}: seed: `x` is not 1 to 16 hex digits")), "{said}");
+    assert_eq!(said.lines().count(), 1, "{said}");
+    let out = Command::new(env!("CARGO_BIN_EXE_cloverhollow")).arg("node").env_remove("NODE_CONFIG").output();
+    assert_eq!(out.unwrap().status.code(), Some(2));
+}
--- a/crates/net/src/events.rs
+++ b/crates/net/src/events.rs
@@ -7,18 +7,30 @@
 pub const MOST_EVENT_LINE: usize = 16 * 1024 * 1024;
 
 /// Takes a stream apart into the data of its events. No I/O.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventLines {
+    most: usize,
     buf: BytesMut,
     data: String,
     seen: usize,
 }
 
+impl Default for EventLines {
+    fn default() -> Self {
+        EventLines::new(MOST_EVENT_LINE)
+    }
+}
+
 impl EventLines {
+    /// For lines and events of at most that many bytes.
+    pub fn new(most: usize) -> Self {
+        EventLines { most, buf: BytesMut::new(), data: String::new(), seen: 0 }
+    }
+
     /// Adds bytes and gives the data of the events that are whole now.
     ///
     /// # Errors
-    /// A line or an event over [`MOST_EVENT_LINE`], or a line that is no UTF-8.
+    /// A line or an event over the bound, or a line that is no UTF-8.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<String>, &'static str> {
         self.buf.extend_from_slice(bytes);
         let mut out = Vec::new();
@@ -36,14 +48,14 @@
                     self.data.push('\n');
                 }
                 self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
-                if self.data.len() > MOST_EVENT_LINE {
+                if self.data.len() > self.most {
                     return Err("an event over its bound");
                 }
             }
             // Comments keep the stream alive; other fields are not used.
         }
         self.seen = self.buf.len();
-        if self.seen > MOST_EVENT_LINE {
+        if self.seen > self.most {
             return Err("a line over its bound");
         }
         Ok(out)
@@ -66,5 +78,6 @@
             assert_eq!(all, ["a\nb", "c"], "pieces of {size}");
         }
         assert!(EventLines::default().push(b"data: \xff\n").is_err());
+        assert!(EventLines::new(16).push(b"data: without an end").is_err());
     }
 }
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -18,6 +18,9 @@
 const AGAIN: Duration = Duration::from_millis(50);
 const AGAIN_MOST: Duration = Duration::from_millis(500);
 
+/// Longest event: the whole list of some thousand servers.
+const MOST_EVENT: usize = 1024 * 1024;
+
 /// Where the channel is, and the last event that was taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct From {
@@ -92,7 +95,7 @@
         return Err(Broken::Status(head.status));
     }
     // A part of an event that a break leaves behind goes with the stream.
-    let mut lines = EventLines::default();
+    let mut lines = EventLines::new(MOST_EVENT);
     loop {
         let data = timeout(SILENT, conn.data()).await.map_err(|_| Broken::Silent)??;
         let Some(data) = data else { return Ok(()) };
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -30,6 +30,8 @@
 const BATCH: usize = 256;
 /// Time between two looks at what is due with connections.
 const LOOK: Duration = Duration::from_millis(50);
+/// Sessions that play already are handed over for so long after the first test was passed.
+const HANDED_OVER: Duration = Duration::from_secs(10);
 /// Most lines that wait for a connection to one video server; past them the oldest is dropped.
 const MOST_WAITING: usize = 256;
 
@@ -78,6 +80,8 @@
     next_viewer: u64,
     inputs: Vec<In>,
     terminating: Option<Duration>,
+    /// Until then sessions are handed over that an earlier life set up.
+    handed_over: Duration,
     looked: Duration,
 }
 
@@ -110,6 +114,7 @@
             next_viewer: 0,
             inputs: Vec::new(),
             terminating: None,
+            handed_over: Duration::MAX,
             looked: Duration::ZERO,
         }
     }
@@ -174,13 +179,13 @@
 
     fn opened(&mut self, conn: ConnId, hold: Hold) {
         if self.conns.len() >= self.bounds.conns {
-            match self.standing.spare() {
+            match self.standing.spare(self.clock.now()) {
                 Some(spare) => self.closed(spare),
                 None => return, // each has a set-up open: dropping the hold turns the new one away
             }
         }
         self.conns.insert(conn, hold);
-        self.standing.opened(conn);
+        self.standing.opened(conn, self.clock.now());
     }
 
     fn closed(&mut self, conn: ConnId) {
@@ -202,10 +207,13 @@
         self.close_conn(conn);
     }
 
-    /// Closes a connection whose stream can't be trusted. What is open on it is given up: nobody can tell any
-    /// more whose it is.
+    /// Closes a connection whose stream can't be trusted. What is open on it fails: nobody can tell any more whose
+    /// it is.
     fn close_conn(&mut self, conn: ConnId) {
-        self.standing.closing(conn);
+        for (viewer, sid) in self.standing.closing(conn) {
+            self.write(conn, viewer::failure(&sid));
+            self.inputs.push(Input::HungUp { viewer, sid });
+        }
         if self.conns.get(&conn).is_some_and(|hold| !hold.close()) {
             self.closed(conn);
         }
@@ -234,6 +242,10 @@
                 }
             }
             Ok(Wish::Test { cseq, sid }) => {
+                // The first test passed begins the time in which sessions are handed over.
+                if self.handed_over == Duration::MAX {
+                    self.handed_over = self.clock.now() + HANDED_OVER;
+                }
                 self.write(conn, viewer::heard(&cseq, sid.as_deref()));
             }
             Ok(Wish::Nothing) => {}
@@ -253,6 +265,11 @@
     fn setup(&mut self, conn: ConnId, setup: viewer::Setup) {
         let viewer::Setup { sid, at, mut arrival } = setup;
         if let Some(name) = at {
+            if self.clock.now() > self.handed_over {
+                // Later than right after the start nobody hands sessions over: it would be one of no server.
+                let to = Addressee { cseq: Some("1".into()), session: Some(sid.to_string()) };
+                return self.unreadable(conn, 400, &to);
+            }
             self.adopt(conn, &sid, &name, arrival);
             return self.usual(conn);
         }
@@ -278,8 +295,9 @@
             return;
         }
         let Some(server) = self.directory.server(name) else {
+            // What stood there is cut: its viewer comes again.
             tracing::info!(session = %sid, server = name, "handed over at a server that is not listed");
-            return;
+            return self.release(Release { conn, sid: sid.clone(), cause: cause::RESET });
         };
         let now = self.clock.now();
         self.standing.adopt(sid, conn, server, now);
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -10,8 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-/// Most mails that wait for the desk; a sender past them waits, and with it its socket.
-pub(crate) const MOST_MAILS: usize = 4_096;
+/// Most mails that wait for the desk, 16 KiB each at most; a sender past them waits, and with it its socket.
+pub(crate) const MOST_MAILS: usize = 512;
 
 /// What a connection's task is to do.
 #[derive(Debug)]
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -118,8 +118,8 @@
     }
 }
 
-/// Most sessions held: more than any video servers of a session manager this size can run.
-const MOST_SESSIONS: usize = 100_000;
+/// Most sessions held: more than the video servers of a session manager this size can run.
+const MOST_SESSIONS: usize = 16_384;
 
 fn terms(site: &cloverhollow_platform::settings::Site) -> Terms {
     let s = &site.settings;
--- a/crates/platform/src/standing.rs
+++ b/crates/platform/src/standing.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
 
+/// A connection that has said nothing for so long since it came up is a silent one.
+const SPEAKS: Duration = Duration::from_millis(250);
 /// Most releases that wait for a connection; past them the oldest is dropped, and its viewer finds out itself.
 pub const MOST_OWED: usize = 65_536;
 
@@ -47,6 +49,8 @@
     standing: usize,
     /// Anything whole was ever read on it.
     spoke: bool,
+    /// When it came up.
+    since: Duration,
     /// It is being closed: nothing is written on it any more.
     closing: bool,
 }
@@ -85,14 +89,15 @@
 
 impl Standing {
     /// A connection came up.
-    pub fn opened(&mut self, conn: ConnId) {
-        self.conns.insert(conn, Conn::default());
+    pub fn opened(&mut self, conn: ConnId, now: Duration) {
+        self.conns.insert(conn, Conn { since: now, ..Conn::default() });
     }
 
     /// A connection is gone: the set-ups open on it are given up.
     pub fn closed(&mut self, conn: ConnId) -> Vec<(ViewerId, Sid)> {
-        let Some(c) = self.conns.remove(&conn) else { return Vec::new() };
-        c.open.into_iter().filter_map(|sid| Some((self.give_up(&sid)?, sid))).collect()
+        let given_up = self.closing(conn);
+        self.conns.remove(&conn);
+        given_up
     }
 
     /// Open connections.
@@ -129,22 +134,24 @@
         self.owed.drain(..).map(|(sid, cause)| Release { conn, sid, cause }).collect()
     }
 
-    /// It is being closed.
-    pub fn closing(&mut self, conn: ConnId) {
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.closing = true;
-        }
+    /// It is being closed: the set-ups open on it are given up.
+    pub fn closing(&mut self, conn: ConnId) -> Vec<(ViewerId, Sid)> {
+        let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
+        c.closing = true;
+        let open = std::mem::take(&mut c.open);
+        open.into_iter().filter_map(|sid| Some((self.give_up(&sid)?, sid))).collect()
     }
 
     /// Which connection to close where there are too many: one that is closing, else the oldest that never said
-    /// anything, else the oldest usual one that is idle; never one with a set-up open.
-    pub fn spare(&self) -> Option<ConnId> {
-        let idle = || self.conns.iter().filter(|(_, c)| c.open.is_empty());
-        let silent = idle()
-            .find(|(_, c)| c.closing)
-            .or_else(|| idle().find(|(_, c)| !c.spoke))
-            .or_else(|| idle().find(|(_, c)| !c.usual));
-        silent.or_else(|| idle().next()).map(|(id, _)| *id)
+    /// anything though it had time to, else the oldest unusual and then usual one that is idle; never one with a
+    /// set-up open. Guards new connections against going, before their first message can come, for the next ones.
+    pub fn spare(&self, now: Duration) -> Option<ConnId> {
+        let idle = |c: &Conn| c.open.is_empty() && (c.spoke || c.since + SPEAKS <= now);
+        let first = |of: &dyn Fn(&Conn) -> bool| self.conns.iter().find(|(_, c)| of(c)).map(|(id, _)| *id);
+        first(&|c| c.closing)
+            .or_else(|| first(&|c| idle(c) && !c.spoke))
+            .or_else(|| first(&|c| idle(c) && !c.usual))
+            .or_else(|| first(&idle))
     }
 
     /// Whether that id is in use.
--- a/crates/platform/src/viewer.rs
+++ b/crates/platform/src/viewer.rs
@@ -187,10 +187,15 @@
         Answer::Follow(_) => rtsp::response(400, "1", Some(sid), &[], b""),
         Answer::Refused { after, .. } => refusal(sid, *after),
         Answer::Failed { late: true, .. } => rtsp::response(504, "1", Some(sid), &[], b""),
-        Answer::Failed { late: false, .. } => rtsp::response(502, "1", Some(sid), &[], b""),
+        Answer::Failed { late: false, .. } => failure(sid),
     }
 }
 
+/// A set-up fails, which claims nothing of whether it ran.
+pub fn failure(sid: &str) -> Bytes {
+    rtsp::response(502, "1", Some(sid), &[], b"")
+}
+
 /// A refusal of a set-up of which it is proven that it never ran.
 pub fn refusal(sid: &str, after: Duration) -> Bytes {
     let wait = [("Retry-After-Ms", after.as_millis().to_string())];
--- a/crates/platform/tests/standing.rs
+++ b/crates/platform/tests/standing.rs
@@ -9,7 +9,7 @@
 
 fn conns(n: u64) -> Standing {
     let mut s = Standing::default();
-    (1..=n).for_each(|c| s.opened(ConnId(c)));
+    (1..=n).for_each(|c| s.opened(ConnId(c), Duration::ZERO));
     s
 }
 
@@ -59,7 +59,7 @@
     assert!(s.closed(ConnId(1)).is_empty(), "a session that stands belongs to no connection");
     s.released(SERVER, &sid, cause::RESET);
     assert_eq!((s.over(&sid), s.owed()), (None, 1));
-    s.opened(ConnId(2));
+    s.opened(ConnId(2), Duration::ZERO);
     assert_eq!(s.usual(ConnId(2)), to(2, &sid, cause::RESET).into_iter().collect::<Vec<_>>());
     assert_eq!(s.owed(), 0);
 }
@@ -109,13 +109,18 @@
     s.ask(&Sid::from("a"), ConnId(1), ViewerId(1));
     s.spoke(ConnId(1));
     s.spoke(ConnId(2));
-    assert_eq!(s.spare(), Some(ConnId(3)));
-    s.closing(ConnId(4));
-    assert_eq!(s.spare(), Some(ConnId(4)));
+    let now = Duration::from_secs(1);
+    assert_eq!(s.spare(now), Some(ConnId(3)));
+    assert_eq!(s.spare(Duration::ZERO), Some(ConnId(2)), "new ones have had no time to say anything");
+    assert!(s.closing(ConnId(4)).is_empty());
+    assert_eq!(s.spare(now), Some(ConnId(4)));
     for conn in [4, 3, 2] {
         s.closed(ConnId(conn));
     }
-    assert_eq!(s.spare(), None);
+    assert_eq!(s.spare(now), None);
+    // What can't be trusted is closed whatever is open on it, and the module hears of that at once.
+    assert_eq!(s.closing(ConnId(1)), [(ViewerId(1), Sid::from("a"))]);
+    assert_eq!((s.spare(now), s.open()), (Some(ConnId(1)), 0));
 }
 
 #[test]
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -325,9 +325,8 @@
     /// A session that plays already at a server of the list, as an earlier life of this front set it up. No
     /// answer is owed. One that is held already stays as it is.
     fn adopted(&mut self, a: Arrival<A>, server: ServerId) {
-        let Some(address) = self.list.address(server).filter(|_| !self.by_sid.contains_key(&a.sid)) else {
-            return;
-        };
+        let takes = self.sessions.len() < self.terms.most && !self.by_sid.contains_key(&a.sid);
+        let Some(address) = self.list.address(server).filter(|_| takes) else { return };
         let request = self.next_request;
         self.next_request += 1;
         self.events.push(Event::Adopted(call(&a, request, self.now), server));
