--- a/crates/platform/src/standing.rs
+++ b/crates/platform/src/standing.rs
@@ -152,6 +152,8 @@
             .or_else(|| first(&|c| idle(c) && !c.spoke))
             .or_else(|| first(&|c| idle(c) && !c.usual))
             .or_else(|| first(&idle))
+            // A crowd that came in one moment: the one that had the most time.
+            .or_else(|| first(&|c| c.open.is_empty()))
     }
 
     /// Whether that id is in use.
--- a/crates/platform/tests/standing.rs
+++ b/crates/platform/tests/standing.rs
@@ -110,6 +110,11 @@
     s.spoke(ConnId(1));
     s.spoke(ConnId(2));
     let now = Duration::from_secs(1);
+    assert_eq!(
+        conns(3).spare(Duration::ZERO),
+        Some(ConnId(1)),
+        "of a crowd that came in one moment the first"
+    );
     assert_eq!(s.spare(now), Some(ConnId(3)));
     assert_eq!(s.spare(Duration::ZERO), Some(ConnId(2)), "new ones have had no time to say anything");
     assert!(s.closing(ConnId(4)).is_empty());
