--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -113,18 +113,23 @@
     started(shell, config)
 }
 
-fn started(mut command: Command, config: &Path) -> (Life, SocketAddr, SocketAddr) {
+fn started(command: Command, config: &Path) -> (Life, SocketAddr, SocketAddr) {
+    let (life, ready) = ready(command, "serve", config);
+    let of = |key: &str| ready[key].as_str().unwrap().parse().unwrap();
+    (life, of("address"), of("side"))
+}
+
+/// A process that has said that it is ready, and what it said.
+pub fn ready(mut command: Command, word: &str, config: &Path) -> (Life, serde_json::Value) {
     let mut child = command
-        .args(["serve", "--log-level", "error", "--config"])
+        .args([word, "--log-level", "error", "--config"])
         .arg(config)
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
     let mut line = String::new();
     BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let ready: serde_json::Value = serde_json::from_str(&line).unwrap();
-    let of = |key: &str| ready[key].as_str().unwrap().parse().unwrap();
-    (Life(child), of("address"), of("side"))
+    (Life(child), serde_json::from_str(&line).unwrap())
 }
 
 pub fn ask(address: SocketAddr, path: &str, hints: &str) -> (TcpStream, String) {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,29 +1,25 @@
 //! `cloverhollow node` as a process: bad clients, a configuration that changes, an end that loses nothing.
 
+mod common;
+
+use common::{ready, Life};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 /// Longer than anything waited for here; a test that reaches it has failed.
 const LONG: Duration = Duration::from_secs(20);
 
 struct Node {
-    child: Child,
+    life: Life,
     address: SocketAddr,
     config: PathBuf,
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn config(channel: SocketAddr) -> String {
     json!({
         "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
@@ -43,17 +39,10 @@
     std::fs::create_dir_all(&dir).unwrap();
     let file = dir.join("config.json");
     std::fs::write(&file, config(channel)).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cloverhollow"))
-        .args(["node", "--log-level", "error", "--config"])
-        .arg(&file)
-        .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let ready: serde_json::Value = serde_json::from_str(&line).unwrap();
+    let program = Command::new(env!("CARGO_BIN_EXE_cloverhollow"));
+    let (life, ready) = ready(program, "node", &file);
     let address = ready["address"].as_str().unwrap().parse().unwrap();
-    Node { child, address, config: file }
+    Node { life, address, config: file }
 }
 
 impl Node {
@@ -64,7 +53,7 @@
     }
 
     fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
+        kill_process(Pid::from_child(&self.life), signal).unwrap();
     }
 
     fn tested(&self) -> bool {
@@ -184,7 +173,7 @@
     conn.shutdown(Shutdown::Both).unwrap();
     let since = Instant::now();
     let ended = loop {
-        if let Some(status) = node.child.try_wait().unwrap() {
+        if let Some(status) = node.life.try_wait().unwrap() {
             break status;
         }
         assert!(since.elapsed() < LONG, "it does not end");
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,4 +15,4 @@
 pub use codec::{ClientSide, ServerSide, WireError};
 pub use events::{EventLines, MOST_EVENT_LINE};
 pub use gate::Gate;
-pub use serve::{answer, linger, read_body, wait_closed, ServerConn};
+pub use serve::{answer, linger, linger_for, read_body, wait_closed, ServerConn};
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -69,12 +69,17 @@
 /// Longest time that it is.
 const LINGER: Duration = Duration::from_millis(300);
 
-/// Closes after a last answer. What the client still sends is read for a moment: closing over unread bytes
-/// would reset the connection and could take the answer with it (RFC 9112, section 9.6).
-pub async fn linger(mut stream: TcpStream) {
-    let _ = timeout(LINGER, async {
+/// Closes after a last answer, as [`linger_for`] a moment.
+pub async fn linger(stream: TcpStream) {
+    linger_for(stream, LINGER, LINGER_BYTES).await;
+}
+
+/// Closes after a last answer. What the client still sends is read for so long, and so many bytes of it: closing
+/// over unread bytes would reset the connection and could take the answer with it (RFC 9112, section 9.6).
+pub async fn linger_for(mut stream: TcpStream, within: Duration, most: usize) {
+    let _ = timeout(within, async {
         stream.shutdown().await.ok()?;
-        let (mut buf, mut left) = ([0; 4096], LINGER_BYTES);
+        let (mut buf, mut left) = ([0; 4096], most);
         while left > 0 {
             match stream.read(&mut buf).await {
                 Ok(0) | Err(_) => return None,
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -7,7 +7,7 @@
 use crate::link::{self, First, Way};
 use crate::mail::{Hold, Mail};
 use bytes::Bytes;
-use cloverhollow::{Brain, Note, ServerId};
+use cloverhollow::{Brain, ServerId};
 use cloverhollow_net::{unix_ms, Clock, Gate};
 use cloverhollow_platform::channel::{Directory, Told};
 use cloverhollow_platform::config::Config;
@@ -15,6 +15,7 @@
 use cloverhollow_platform::rtsp::{Addressee, Message};
 use cloverhollow_platform::settings::Site;
 use cloverhollow_platform::standing::{ConnId, Left, Release, Standing};
+use cloverhollow_platform::told;
 use cloverhollow_platform::viewer::{self, Ask, Wish};
 use cloverhollow_platform::watch::{Act, Down, LinkId, Watch};
 use cloverhollow_session::{
@@ -404,7 +405,7 @@
                 None => self.broke(id),
             },
             (Verb::Finish, true) => {
-                let load = load(&line);
+                let load = told::load(&line);
                 let end = match line.rc {
                     Some(cause::FULL) => AttemptEnd::Full,
                     Some(cause::MOOT) => AttemptEnd::NeverSent,
@@ -421,12 +422,12 @@
                         cause::CANCELLED => OverWhy::Quit,
                         _ => OverWhy::Lost,
                     };
-                    let load = load(&line);
+                    let load = told::load(&line);
                     self.inputs.push(over(line.tag.into(), why, load));
                 }
             }
             (Verb::Notice, _) => {
-                if let Some(note) = note(&line) {
+                if let Some(note) = told::note(&line) {
                     self.inputs.push(Input::Note { sid: line.tag.into(), note });
                 }
             }
@@ -606,30 +607,3 @@
 fn over(sid: Sid, why: OverWhy, load: Load) -> In {
     Input::Over { sid, why, load }
 }
-
-/// The report that a line carries.
-fn load(line: &Line) -> Load {
-    let mut out = Load::default();
-    for part in line.field("load").unwrap_or_default().split(';') {
-        let Some((name, value)) = part.split_once(':') else { continue };
-        let value = value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
-        match name {
-            "x0" | "load_share" => out.link = value,
-            "x1" => out.rack = value,
-            _ => {}
-        }
-    }
-    out
-}
-
-/// What a note says.
-fn note(line: &Line) -> Option<Note> {
-    let value: f64 = line.field("value")?.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
-    Some(match line.field("note")? {
-        "kept_up" => Note::Share(value),
-        "tier" => Note::Rung(value as usize),
-        "wire" => Note::Link(value),
-        "trunk" => Note::Rack(value),
-        _ => return None,
-    })
-}
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -2,6 +2,7 @@
 
 use crate::mail::{Hold, Mail, Order};
 use bytes::BytesMut;
+use cloverhollow_net::linger_for;
 use cloverhollow_platform::rtsp::{self, Addressee, Malformed};
 use cloverhollow_platform::standing::ConnId;
 use std::time::Duration;
@@ -87,7 +88,7 @@
                     return;
                 }
                 if close {
-                    return linger(stream).await;
+                    return linger_for(stream, LINGER, LINGER_BYTES).await;
                 }
             }
             read = stream.read_buf(&mut buf), if readable => {
@@ -125,19 +126,3 @@
         }
     }
 }
-
-/// Closes after a last answer: what still comes is read and dropped for a while.
-async fn linger(mut stream: TcpStream) {
-    let _ = timeout(LINGER, async {
-        stream.shutdown().await.ok()?;
-        let (mut buf, mut left) = (vec![0; 16 * 1024], LINGER_BYTES);
-        while left > 0 {
-            match stream.read(&mut buf).await {
-                Ok(0) | Err(_) => return None,
-                Ok(n) => left = left.saturating_sub(n),
-            }
-        }
-        Some(())
-    })
-    .await;
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod rtsp;
 pub mod settings;
 pub mod standing;
+pub mod told;
 pub mod viewer;
 pub mod watch;
--- /dev/null
+++ b/crates/platform/src/told.rs
@@ -0,0 +1,32 @@
+//! What a video server's line tells of its load and of a session, in the core's words and units: shares, 1 being all.
+
+use crate::lines::Line;
+use cloverhollow::Note;
+use cloverhollow_session::Load;
+
+/// The report that a line carries.
+pub fn load(line: &Line) -> Load {
+    let mut out = Load::default();
+    for part in line.field("load").unwrap_or_default().split(';') {
+        let Some((name, value)) = part.split_once(':') else { continue };
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
+        match name {
+            "x0" | "load_share" => out.link = value,
+            "x1" => out.rack = value,
+            _ => {}
+        }
+    }
+    out
+}
+
+/// What a note says.
+pub fn note(line: &Line) -> Option<Note> {
+    let value: f64 = line.field("value")?.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+    Some(match line.field("note")? {
+        "kept_up" => Note::Share(value),
+        "tier" => Note::Rung(value as usize),
+        "wire" => Note::Link(value),
+        "trunk" => Note::Rack(value),
+        _ => return None,
+    })
+}
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -1,7 +1,8 @@
 //! Bytes in, messages out: whole, in pieces, and what no message is.
 
 use bytes::{Bytes, BytesMut};
-use cloverhollow_platform::{lines, rtsp};
+use cloverhollow::Note;
+use cloverhollow_platform::{lines, rtsp, told};
 use proptest::prelude::*;
 
 const SETUP: &str =
@@ -115,6 +116,24 @@
     );
 }
 
+#[test]
+fn reports_and_notes_are_read_and_nonsense_is_none() {
+    let line = |name: &str, value: &str| lines::Line::new(lines::Verb::Finish, "9b").with(name, value);
+    let load = told::load(&line("load", "concurrent:40.971;x0:0.167;x1:1.456"));
+    assert_eq!((load.link, load.rack, load.share), (Some(0.167), Some(1.456), None));
+    for nonsense in ["", "x0", "x0:", "x0:-1;x1:NaN", "x0:1e999", ";;:;x9:1"] {
+        assert_eq!(told::load(&line("load", nonsense)), Default::default(), "{nonsense}");
+    }
+    let note = |name: &str, value: &str| told::note(&line("note", name).with("value", value));
+    assert!(matches!(note("kept_up", "0.5"), Some(Note::Share(s)) if s == 0.5));
+    assert!(matches!(note("tier", "2"), Some(Note::Rung(2))));
+    assert!(matches!(note("wire", "1.2"), Some(Note::Link(x)) if x == 1.2));
+    assert!(matches!(note("trunk", "0.4"), Some(Note::Rack(x)) if x == 0.4));
+    for (name, value) in [("wire", "x"), ("wire", "-1"), ("wire", "inf"), ("other", "1"), ("tier", "")] {
+        assert!(note(name, value).is_none(), "{name} {value}");
+    }
+}
+
 proptest! {
     /// No bytes make a codec fail otherwise than by its error, or take more than it holds.
     #[test]
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -1,6 +1,7 @@
 //! The state machine of all sessions of one front.
 
 use crate::gauge::Gauge;
+use crate::held::{Phase, Session, Waiter};
 use crate::learn::{Learning, Shelf};
 use crate::list::{ListNews, SavedList, ServerList};
 use crate::lives::Lives;
@@ -10,8 +11,8 @@
 use crate::terms::Terms;
 use crate::timers::{Due, Timers};
 use crate::types::*;
-use cloverhollow::{Action, Before, Call, Event, ListMode, Note, Outcome, Report, RequestId, ServerId};
-use cloverhollow_hints::{Contradiction, Contradictions};
+use cloverhollow::{Action, Before, Event, ListMode, Note, Outcome, Report, RequestId, ServerId};
+use cloverhollow_hints::Contradiction;
 use cloverhollow_recovery::{digest, Deed, Recovered, Trust};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -29,59 +30,6 @@
 /// another span of the ration (rule 6).
 const STALE_FURTHER: Duration = Duration::from_millis(100);
 
-/// Someone who waits for a session's set-up.
-#[derive(Debug)]
-struct Waiter {
-    viewer: ViewerId,
-    /// It brought the request that the set-up is sent with.
-    owner: bool,
-}
-
-#[derive(Debug)]
-enum Phase {
-    /// The module has it, no attempt is out.
-    Deciding,
-    /// An attempt is out.
-    Out {
-        attempt: AttemptId,
-        server: ServerId,
-        address: SocketAddr,
-        since: Duration,
-        recalled: Option<RecallWhy>,
-    },
-    /// It plays.
-    Playing { attempt: AttemptId, route: Arc<Route> },
-}
-
-#[derive(Debug)]
-struct Session<A> {
-    sid: Sid,
-    title: u64,
-    class: usize,
-    paid: bool,
-    deadline: Duration,
-    rung: usize,
-    sent: u32,
-    /// How the last attempt that may have run ended.
-    ran: Option<AttemptEnd>,
-    /// An attempt could not be taken down, and did not go out.
-    not_kept: bool,
-    phase: Phase,
-    waiting: Vec<Waiter>,
-    told: Contradictions,
-    ask: A,
-}
-
-/// How many of each are kept: flat over the months, or there is a leak.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(missing_docs)] // the names say it
-pub struct Kept {
-    pub servers: usize,
-    pub gauges: usize,
-    pub sessions: usize,
-    pub timers: usize,
-}
-
 /// Called with each step of the decision module: the time, its events, its actions.
 pub type Tap = Box<dyn FnMut(Duration, &[Event], &[Action]) + Send>;
 
@@ -314,11 +262,11 @@
         let request = self.next_request;
         self.next_request += 1;
         let deadline = self.now + a.patience.saturating_sub(self.terms.margin);
-        self.events.push(Event::Call(call(&a, request, deadline)));
+        self.events.push(Event::Call(a.call(request, deadline)));
         self.note_hints(&a);
         self.by_sid.insert(a.sid.clone(), request);
         let waiting = vec![Waiter { viewer: a.viewer, owner: true }];
-        let session = Session { waiting, ..session(a, class.paid, deadline) };
+        let session = Session { waiting, ..Session::new(a, class.paid, deadline) };
         self.sessions.insert(request, session);
     }
 
@@ -329,10 +277,10 @@
         let Some(address) = self.list.address(server).filter(|_| takes) else { return };
         let request = self.next_request;
         self.next_request += 1;
-        self.events.push(Event::Adopted(call(&a, request, self.now), server));
+        self.events.push(Event::Adopted(a.call(request, self.now), server));
         self.by_sid.insert(a.sid.clone(), request);
         let paid = self.terms.classes[a.class].paid;
-        let mut s = Session { sent: 1, ..session(a, paid, self.now) };
+        let mut s = Session { sent: 1, ..Session::new(a, paid, self.now) };
         self.plays(request, &mut s, AttemptId { request, number: 0 }, server, address);
         self.sessions.insert(request, s);
     }
@@ -645,12 +593,7 @@
         if !self.list.holds_gone() {
             return;
         }
-        let at = |s: &Session<A>| match &s.phase {
-            Phase::Deciding => None,
-            Phase::Out { server, .. } => Some(*server),
-            Phase::Playing { route, .. } => Some(route.server),
-        };
-        let used: BTreeSet<ServerId> = self.sessions.values().filter_map(at).collect();
+        let used: BTreeSet<ServerId> = self.sessions.values().filter_map(Session::at).collect();
         self.list.let_go(|server| used.contains(&server));
         self.gauges.retain(|server, _| self.list.address(*server).is_some());
     }
@@ -748,37 +691,3 @@
         self.forget(request);
     }
 }
-
-/// What the decision module is told of a request.
-fn call<A>(a: &Arrival<A>, request: RequestId, deadline: Duration) -> Call {
-    Call {
-        request,
-        title: a.title,
-        class: a.class,
-        tenant: a.tenant,
-        top: a.top,
-        first_cell: a.first_cell,
-        cells: a.cells,
-        deadline,
-        again: a.again,
-    }
-}
-
-/// A session that nobody waits for and nothing is out for.
-fn session<A>(a: Arrival<A>, paid: bool, deadline: Duration) -> Session<A> {
-    Session {
-        sid: a.sid,
-        title: a.title,
-        class: a.class,
-        paid,
-        deadline,
-        rung: 0,
-        sent: 0,
-        ran: None,
-        not_kept: false,
-        phase: Phase::Deciding,
-        waiting: Vec::new(),
-        told: a.contradictions,
-        ask: a.ask,
-    }
-}
--- /dev/null
+++ b/crates/session/src/held.rs
@@ -0,0 +1,82 @@
+//! One session as the core holds it.
+
+use crate::routes::Route;
+use crate::types::{Arrival, AttemptEnd, AttemptId, RecallWhy, Sid, ViewerId};
+use cloverhollow::ServerId;
+use cloverhollow_hints::Contradictions;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Someone who waits for a session's set-up.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) viewer: ViewerId,
+    /// It brought the request that the set-up is sent with.
+    pub(crate) owner: bool,
+}
+
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// The module has it, no attempt is out.
+    Deciding,
+    /// An attempt is out.
+    Out {
+        attempt: AttemptId,
+        server: ServerId,
+        address: SocketAddr,
+        since: Duration,
+        recalled: Option<RecallWhy>,
+    },
+    /// It plays.
+    Playing { attempt: AttemptId, route: Arc<Route> },
+}
+
+#[derive(Debug)]
+pub(crate) struct Session<A> {
+    pub(crate) sid: Sid,
+    pub(crate) title: u64,
+    pub(crate) class: usize,
+    pub(crate) paid: bool,
+    pub(crate) deadline: Duration,
+    pub(crate) rung: usize,
+    pub(crate) sent: u32,
+    /// How the last attempt that may have run ended.
+    pub(crate) ran: Option<AttemptEnd>,
+    /// An attempt could not be taken down, and did not go out.
+    pub(crate) not_kept: bool,
+    pub(crate) phase: Phase,
+    pub(crate) waiting: Vec<Waiter>,
+    pub(crate) told: Contradictions,
+    pub(crate) ask: A,
+}
+
+impl<A> Session<A> {
+    /// One that nobody waits for and nothing is out for.
+    pub(crate) fn new(a: Arrival<A>, paid: bool, deadline: Duration) -> Self {
+        Session {
+            sid: a.sid,
+            title: a.title,
+            class: a.class,
+            paid,
+            deadline,
+            rung: 0,
+            sent: 0,
+            ran: None,
+            not_kept: false,
+            phase: Phase::Deciding,
+            waiting: Vec::new(),
+            told: a.contradictions,
+            ask: a.ask,
+        }
+    }
+
+    /// The server where it plays or is being set up.
+    pub(crate) fn at(&self) -> Option<ServerId> {
+        match &self.phase {
+            Phase::Deciding => None,
+            Phase::Out { server, .. } => Some(*server),
+            Phase::Playing { route, .. } => Some(route.server),
+        }
+    }
+}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod arrival;
 mod core;
 mod gauge;
+mod held;
 mod learn;
 mod list;
 mod lives;
@@ -23,7 +24,7 @@
 mod timers;
 mod types;
 
-pub use crate::core::{Core, Kept, Tap};
+pub use crate::core::{Core, Tap};
 pub use gauge::Gauge;
 pub use learn::Shelf;
 pub use list::{
--- a/crates/session/src/types.rs
+++ b/crates/session/src/types.rs
@@ -2,7 +2,7 @@
 
 use crate::list::ListNews;
 use crate::routes::Route;
-use cloverhollow::{Note, Report, RequestId, ServerId, TitleId};
+use cloverhollow::{Call, Note, Report, RequestId, ServerId, TitleId};
 use cloverhollow_hints::{Contradictions, Faults};
 use cloverhollow_knowledge::wire::Message;
 use cloverhollow_knowledge::{Level, MergeError};
@@ -85,6 +85,23 @@
     pub ask: A,
 }
 
+impl<A> Arrival<A> {
+    /// As the decision module is told of it.
+    pub(crate) fn call(&self, request: RequestId, deadline: Duration) -> Call {
+        Call {
+            request,
+            title: self.title,
+            class: self.class,
+            tenant: self.tenant,
+            top: self.top,
+            first_cell: self.first_cell,
+            cells: self.cells,
+            deadline,
+            again: self.again,
+        }
+    }
+}
+
 /// What is proven of an attempt that did not come to play.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -408,3 +425,13 @@
     /// Peers that it knows.
     pub peers: Vec<SocketAddr>,
 }
+
+/// How many of each are kept: flat over the months, or there is a leak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs)] // the names say it
+pub struct Kept {
+    pub servers: usize,
+    pub gauges: usize,
+    pub sessions: usize,
+    pub timers: usize,
+}
