--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -551,9 +551,9 @@
         self.doubt = now + before.late.min(self.set.rules.cold);
     }
 
-    /// An error may be the request's own fault, which no server can serve: it tells of the server only where its
-    /// last answer was an error too, and a request's further errors tell nothing. Guards against a client by
-    /// whose set-ups all servers would rest. Costs one set-up more at a server that has begun to err.
+    /// An error may be the request's own fault, which no server can serve: it tells of the server only where
+    /// the last answer there was an error too, and a request's further errors tell nothing. Guards against a
+    /// client by whose set-ups all servers would rest. Costs one set-up more at a server that begins to err.
     fn erred(&mut self, request: RequestId, server: ServerId) {
         let first = self.sessions.get_mut(&request).and_then(|s| s.erred_at.replace(server)).is_none();
         let Some(s) = self.servers.get_mut(&server) else { return };
