--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -87,7 +87,6 @@
 }
 
 impl Desk {
-    #[allow(clippy::too_many_arguments)]
     pub(crate) fn new(
         core: NodeCore,
         clock: Clock,
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,6 +1,6 @@
 //! One connection to a video server, in a task of its own.
 
-use crate::mail::{Hold, Mail, Order};
+use crate::mail::{gather, Hold, Mail, Order};
 use bytes::{Bytes, BytesMut};
 use cloverhollow_net::{Clock, Gate};
 use cloverhollow_platform::lines;
@@ -82,20 +82,8 @@
     loop {
         tokio::select! {
             order = orders.recv(), if closed.is_none() => {
-                out.clear();
-                let mut next = order;
-                loop {
-                    match next {
-                        Some(Order::Write(bytes)) => out.extend_from_slice(&bytes),
-                        Some(Order::Close) | None => {
-                            closed = Some(Instant::now() + LINGER);
-                            break;
-                        }
-                    }
-                    match orders.try_recv() {
-                        Ok(order) => next = Some(order),
-                        Err(_) => break,
-                    }
+                if gather(order, &mut orders, &mut out) {
+                    closed = Some(Instant::now() + LINGER);
                 }
                 if write(&mut stream, &out).await.is_err() {
                     return Down::Broke;
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -1,6 +1,6 @@
 //! Viewers' connections, a task each.
 
-use crate::mail::{Hold, Mail, Order};
+use crate::mail::{gather, Hold, Mail, Order};
 use bytes::BytesMut;
 use cloverhollow_net::linger_for;
 use cloverhollow_platform::rtsp::{self, Addressee, Malformed};
@@ -72,18 +72,7 @@
     loop {
         tokio::select! {
             order = orders.recv() => {
-                out.clear();
-                let (mut next, mut close) = (order, false);
-                loop {
-                    match next {
-                        Some(Order::Write(bytes)) => out.extend_from_slice(&bytes),
-                        Some(Order::Close) | None => { close = true; break }
-                    }
-                    match orders.try_recv() {
-                        Ok(order) => next = Some(order),
-                        Err(_) => break,
-                    }
-                }
+                let close = gather(order, &mut orders, &mut out);
                 if !matches!(timeout(WRITE, stream.write_all(&out)).await, Ok(Ok(()))) {
                     return;
                 }
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -22,6 +22,22 @@
     Close,
 }
 
+/// Gathers what is queued, beginning with `first`, into `out`, whose old bytes go; whether a close comes behind it.
+pub(crate) fn gather(first: Option<Order>, orders: &mut mpsc::Receiver<Order>, out: &mut Vec<u8>) -> bool {
+    out.clear();
+    let mut next = first;
+    loop {
+        match next {
+            Some(Order::Write(bytes)) => out.extend_from_slice(&bytes),
+            Some(Order::Close) | None => return true,
+        }
+        match orders.try_recv() {
+            Ok(order) => next = Some(order),
+            Err(_) => return false,
+        }
+    }
+}
+
 /// The desk's hold on a connection. Dropping it closes the connection at once.
 #[derive(Debug)]
 pub(crate) struct Hold {
