--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! The command `cloverhollow`.
 
+mod fleet;
+
 use clap::{Parser, Subcommand};
 use cloverhollow_cli::{Logs, Serve};
 use cloverhollow_settings::FrontSettings;
@@ -41,6 +43,8 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Says who a running front thinks is there, and how many at the most.
+    Fleet(fleet::Fleet),
     /// Runs a record through the decision module; exits 1 where the actions come out otherwise.
     Replay {
         /// A file that `serve --record` wrote.
@@ -80,6 +84,16 @@
             }
             Err(e) => fail(&e, 2),
         },
+        Command::Fleet(ask) => {
+            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+                Ok(runtime) => runtime,
+                Err(e) => return fail(&e, 1),
+            };
+            match runtime.block_on(ask.run()) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => fail(&e, e.code()),
+            }
+        }
         Command::Replay { record } => replay(&record),
     }
 }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -231,6 +231,8 @@
     quiet: Duration,
     /// Until then any server may have started anew while this front was dead.
     doubt: Duration,
+    /// The count in force, if any, where fronts are counted.
+    counted: Option<Option<usize>>,
     waiting: Vec<RequestId>,
     read: Vec<ServerId>,
     /// When others' parts were last worked out, and the mean rate of an own session then.
@@ -258,6 +260,7 @@
             unproven: Duration::ZERO,
             quiet: Duration::ZERO,
             doubt: Duration::ZERO,
+            counted: None,
             waiting: Vec::new(),
             read: Vec::new(),
             looked: None,
@@ -289,6 +292,7 @@
                 Event::Gone(request) => self.gone(*request),
                 Event::Heard(heard) => self.heard(heard),
                 Event::Before(before) => self.before(before),
+                Event::Counted { fronts } => self.counted(*fronts),
                 Event::Timer(ASK_AGAIN) => self.out.push(Action::Subscribe),
                 Event::Timer(_) => {}
             }
@@ -551,6 +555,25 @@
         self.doubt = now + before.late.min(self.set.rules.cold);
     }
 
+    /// Guards cold servers against fronts that reckon with too few others (rule 4). A part shrinks at once,
+    /// and the waits for turns drawn with it; it grows with the next turn. After a while without a count all
+    /// draw anew: turns that went by would fall together. May hurt: uncounted, cold servers get nothing.
+    fn counted(&mut self, fronts: Option<usize>) {
+        let gaps: Vec<_> = self.servers.iter().map(|(id, s)| (*id, secs(self.cold_gap(s)))).collect();
+        let again = self.counted.replace(fronts).flatten().is_none();
+        self.set.fronts = fronts.unwrap_or(self.set.fronts);
+        for (id, old) in gaps {
+            let longer = secs(self.cold_gap(&self.servers[&id])) / old.max(TINY);
+            let s = self.servers.get_mut(&id).expect("listed above");
+            if s.turn > self.now {
+                s.turn = self.now + (s.turn - self.now).mul_f64(longer.max(1.0));
+            } else if again && !s.turn.is_zero() {
+                self.draw_turn(id);
+            }
+        }
+        self.looked = None;
+    }
+
     /// An error may be the request's own fault, which no server can serve: it tells of the server only where
     /// the last answer there was an error too, and a request's further errors tell nothing. Guards against a
     /// client by whose set-ups all servers would rest. Costs one set-up more at a server that begins to err.
@@ -610,7 +633,8 @@
             && self.holds(call, s)
             && s.rest_until <= self.now
             && (s.fails == 0 || (!s.trial && !class.at_most_once))
-            && ((!self.is_cold(s) && self.doubt <= self.now) || s.turn <= self.now)
+            && ((!self.is_cold(s) && self.doubt <= self.now)
+                || (self.counted != Some(None) && s.turn <= self.now))
     }
 
     /// The holder with the most room on link and uplink, and the highest rung that fits there.
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -297,6 +297,12 @@
     Heard(Heard),
     /// This front ran before.
     Before(Before),
+    /// Fronts that send into the fleet, this one included, at the most; `None`: nobody can say any more, and this
+    /// front has no part of a cold server. Until it first comes, the settings' number holds.
+    Counted {
+        /// See above.
+        fronts: Option<usize>,
+    },
 }
 
 /// What a front does.
--- a/crates/decisions/tests/brain.rs
+++ b/crates/decisions/tests/brain.rs
@@ -440,6 +440,44 @@
     }
 }
 
+/// The fleet grows while a server is cold, loses count, and finds it again: all together stay within its budget.
+#[test]
+fn fronts_that_are_counted_stay_within_a_cold_servers_budget_while_their_number_changes() {
+    let set = settings();
+    let budget = set.rules.fall_multiple * 20.0 / 10.0 * set.rules.cold_from; // a window of one second
+    let cold = Entry { started: START - ms(100), ..entry(0) };
+    // By tenths of a second: how many there are, and whether anybody can count.
+    let there = |k: u64| if k < 20 { 3u64 } else { 60 };
+    let counted = |k: u64| (!(5..8).contains(&k) && !(30..40).contains(&k)).then_some(there(k) as usize);
+    // Twenty fleets: how many set-ups each sends in each window.
+    let (mut worst, mut sum) = (0, vec![0; 95]);
+    for fleet in 0..20 {
+        let mut sent = Vec::new();
+        for front in 0..60 {
+            let mut brain = Brain::new(set.clone(), fleet * 60 + front);
+            brain.step(START, &[Event::List(ListMode::Stale, vec![cold])]);
+            for k in (0..95).filter(|k| front < there(*k)) {
+                let t = START + ms(100 * k);
+                let events = [Event::Counted { fronts: counted(k) }, Event::Call(call(k, 1, t))];
+                let went = sends(&brain.step(t, &events));
+                assert!(counted(k).is_some() || went.is_empty(), "no count, no part");
+                sent.extend(went.iter().map(|_| k));
+                brain.step(t, &went.iter().map(|s| ended(s.0, 0, 0, Outcome::Moot)).collect::<Vec<_>>());
+            }
+        }
+        for k in 0..95 {
+            let window = sent.iter().filter(|t| (k..k + 10).contains(*t)).count();
+            worst = worst.max(window);
+            sum[k as usize] += window;
+        }
+    }
+    let mean = *sum.iter().max().unwrap() as f64 / 20.0;
+    assert!(mean <= budget, "{mean} in a window of {budget}, on the mean");
+    // Three whole set-ups of slack for the worst of 1,900 windows.
+    assert!(worst as f64 <= budget + 3.0, "{worst} in a window of {budget}");
+    assert!(sum[50..].iter().any(|n| *n > 0), "it is used again");
+}
+
 /// Full size, first scores: with few own sessions each front freed a whole rung, all at once.
 #[test]
 fn fronts_with_one_session_each_free_about_what_is_missing() {
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -65,6 +65,8 @@
     saver: watch::Sender<Option<SavedList>>,
     outcomes: mpsc::Sender<Outcome>,
     state: Arc<State>,
+    /// How many fronts the core was last told of; `None`: the settings' number holds.
+    counted: Option<Option<usize>>,
 }
 
 type Inputs = Vec<Input<Arc<Ask>, SetupAnswer>>;
@@ -89,6 +91,7 @@
             saver,
             outcomes,
             state,
+            counted: None,
         }
     }
 
@@ -131,6 +134,12 @@
     /// One instant: steps until what the shell answers at once (recalls) is used up.
     fn step(&mut self, mut inputs: Inputs) {
         loop {
+            // Looked at before each step, for whoever stood still holds no count any more.
+            let counted = self.state.counted();
+            if counted != self.counted {
+                self.counted = counted;
+                inputs.insert(0, Input::Counted { fronts: counted.flatten() });
+            }
             let lists = inputs.iter().filter_map(|i| match i {
                 Input::List(news) => Some(news.mode == ListMode::Whole),
                 _ => None,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 mod discovery;
 mod journal;
 mod lives;
+mod members;
 mod object;
 mod peers;
 mod pool;
@@ -76,6 +77,14 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A key of the members' datagrams can't be used.
+    #[error("members.keys {file}: {what}")]
+    Key {
+        /// The file.
+        file: String,
+        /// Why.
+        what: String,
+    },
     /// Another process of this front runs: two lives at once would each spend the whole of every budget.
     #[error("keep.file: {0}")]
     Twice(#[from] cloverhollow_store::PaperError),
@@ -119,6 +128,7 @@
             core.set_tap(tap);
         }
         let clock = Clock::start();
+        let fleet = members::Fleet::open(&settings, clock, side_address).await?;
         let (mail, mails) = mpsc::channel(MOST_MAILS);
         let shared = Arc::new(Shared {
             clock,
@@ -133,7 +143,7 @@
             settings: settings.clone(),
         });
         let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        let state = Arc::new(side::State::new(&settings.peers));
+        let state = Arc::new(side::State::new(&settings.peers, fleet.as_ref().map(|f| f.0.clone())));
         let (outcome, outcomes) = mpsc::channel(peers::MOST_OUTCOMES);
 
         // What was kept goes in before the first request can: the desk reads its mails in order.
@@ -162,6 +172,10 @@
             state.set_level(cloverhollow_knowledge::Level::Warming, cloverhollow_knowledge::Why::Asking);
         }
         tasks.spawn(until(stop.clone(), peers::run(shared.clone(), state.clone(), side_address, outcomes)));
+        if let Some((fleet, socket)) = fleet {
+            // Stops by itself: it leaves with a word.
+            tasks.spawn(members::run(fleet, socket, settings.members.sync_ms.get(), stop.clone()));
+        }
         if let Some(side) = side {
             tasks.spawn(until(stop.clone(), side::run(side, shared.clone(), state.clone())));
         }
@@ -225,12 +239,14 @@
         };
         let _ = stream.set_nodelay(true);
         let closed = state.closed_for(shared.clock.now());
-        let (after, reason) = match closed.is_zero() {
-            true => (Duration::from_secs(1), "front-full"),
-            false => (closed, "backing-off"),
+        let stepped_back = state.stepped_back().is_some();
+        let (after, reason) = match (stepped_back, closed.is_zero()) {
+            (true, _) => (Duration::from_secs(1), "two-lives"),
+            (_, true) => (Duration::from_secs(1), "front-full"),
+            (_, false) => (closed, "backing-off"),
         };
         match room.clone().try_acquire_owned() {
-            Ok(permit) if closed.is_zero() => {
+            Ok(permit) if closed.is_zero() && !stepped_back => {
                 let shared = shared.clone();
                 connections.spawn(async move {
                     viewer::serve(stream, shared).await;
--- /dev/null
+++ b/crates/front/src/members.rs
@@ -0,0 +1,264 @@
+//! The other fronts: datagrams at `members.listen`, and the part that the decisions have of what the fleet may do.
+//!
+//! One task owns the socket. Datagrams that the system can't take at once are lost, as any may be: nothing waits. The
+//! member's state is behind a lock that is held for one datagram, one tick or one page; the desk looks at the part
+//! under it before each step, by a clock that goes on while the process stands still.
+
+use crate::StartError;
+use bytes::Bytes;
+use cloverhollow_http::{RequestHead, Target};
+use cloverhollow_members::{
+    Key, Life, Member, MemberSettings, Notice, Outgoing, Sure, SwimSettings, Who, MOST_BODY, MOST_DATAGRAM,
+};
+use cloverhollow_net::{connect, unix_ms, Clock};
+use cloverhollow_settings::FrontSettings;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Path at the side address by which members tell each other all that they hold.
+pub(crate) const PATH: &str = "/v1/members";
+/// Path of the operators' page there.
+pub(crate) const PAGE: &str = "/v1/fleet";
+/// The argument that an answer carries back.
+pub(crate) const NONCE: &str = "nonce";
+/// Time for one such question.
+const WITHIN: Duration = Duration::from_secs(2);
+/// Shortest secret, bytes.
+const SHORTEST: usize = 16;
+
+/// This front as a member.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    clock: Clock,
+    counts: bool,
+    member: Mutex<Member>,
+}
+
+/// Reads a key's secret: hexadecimal digits in a file that is its owner's alone.
+fn secret(path: &std::path::Path) -> Result<Vec<u8>, String> {
+    use std::os::unix::fs::PermissionsExt;
+    let meta = std::fs::metadata(path).map_err(|e| e.to_string())?;
+    if meta.permissions().mode() & 0o077 != 0 {
+        return Err("others may read it (chmod 600)".into());
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
+    let text = text.trim();
+    let byte = |i: usize| text.get(i..i + 2).and_then(|t| u8::from_str_radix(t, 16).ok());
+    let bytes: Option<Vec<u8>> = (0..text.len()).step_by(2).map(byte).collect();
+    match bytes.filter(|b| b.len() >= SHORTEST) {
+        Some(bytes) => Ok(bytes),
+        None => Err(format!("not {SHORTEST} or more bytes as hexadecimal digits")),
+    }
+}
+
+impl Fleet {
+    /// Opens the socket, where `members.listen` is set. `side`: this front's side address.
+    ///
+    /// # Errors
+    /// The address can't be listened on, or a key can't be used.
+    pub(crate) async fn open(
+        settings: &FrontSettings,
+        clock: Clock,
+        side: Option<SocketAddr>,
+    ) -> Result<Option<(Arc<Fleet>, UdpSocket)>, StartError> {
+        let m = &settings.members;
+        let Some(listen) = m.listen else { return Ok(None) };
+        let listening = |source| StartError::Listen { field: "members.listen", address: listen, source };
+        let socket = UdpSocket::bind(listen).await.map_err(listening)?;
+        let bound = socket.local_addr().map_err(listening)?;
+        let mut keys = Vec::new();
+        for k in &m.keys {
+            let secret = secret(&k.file)
+                .map_err(|what| StartError::Key { file: k.file.display().to_string(), what })?;
+            keys.push(Key { id: k.id.get() as u32, secret });
+        }
+        let me = Who {
+            address: m.address.unwrap_or(bound),
+            side,
+            name: settings.instance.name.as_str().into(),
+            hall: settings.instance.hall.as_str().into(),
+            life: Life { number: unix_ms(), token: fastrand::u64(1..) },
+        };
+        let swim = SwimSettings {
+            probe: m.probe_ms.get(),
+            answer: m.answer_ms.get(),
+            suspicion: m.suspicion_ms.get(),
+            gossip: m.gossip_ms.get(),
+            heal: m.heal_ms.get(),
+            seeds: m.seeds.clone(),
+            ..SwimSettings::default()
+        };
+        tracing::info!(address = %me.address, name = %me.name, life = %me.life, "member starts");
+        let set = MemberSettings {
+            me,
+            keys,
+            swim,
+            lease: m.lease_ms.get(),
+            witnesses: m.witnesses.clone(),
+            seed: fastrand::u64(..),
+        };
+        let counts = !m.witnesses.is_empty();
+        let member = Mutex::new(Member::new(clock.now(), set));
+        Ok(Some((Arc::new(Fleet { clock, counts, member }), socket)))
+    }
+
+    fn member(&self) -> MutexGuard<'_, Member> {
+        self.member.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many fronts the decisions may reckon with now: `None` while there is no count in force. Outer `None`:
+    /// without witnesses the settings' number holds.
+    pub(crate) fn counted(&self) -> Option<Option<usize>> {
+        self.counts.then(|| self.member().part().and_then(|p| p.at(self.clock.now())))
+    }
+
+    /// The younger process of this front's name, where there is one.
+    pub(crate) fn stepped_back(&self) -> Option<SocketAddr> {
+        self.member().stepped_back().map(|w| w.address)
+    }
+
+    /// All that it holds, sealed, for a member that asks.
+    pub(crate) fn records(&self, nonce: u64) -> Option<Vec<u8>> {
+        self.member().records(nonce)
+    }
+
+    /// What operators see.
+    pub(crate) fn page(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let ago = |t: Duration| now.saturating_sub(t).as_millis() as u64;
+        let m = self.member();
+        let (me, view, status, part) = (m.me(), m.view(), m.status(), m.part());
+        let seen = view.members.values().map(|s| {
+            serde_json::json!({
+                "name": &*s.who.name, "hall": &*s.who.hall, "address": s.who.address, "side": s.who.side,
+                "life": s.who.life.to_string(), "sure": s.sure, "since_ms": ago(s.since),
+                "heard_ms": s.heard.map(ago), "why": s.why,
+            })
+        });
+        let refused = status.refused.iter().map(|(why, n)| (why.to_string(), (*n).into()));
+        serde_json::json!({
+            "me": {"name": &*me.name, "hall": &*me.hall, "address": me.address, "life": me.life.to_string()},
+            "view": {"number": view.number, "at_least": view.at_least(), "at_most": view.at_most()},
+            "count": {
+                "asked_for": self.counts,
+                "in_force": part.and_then(|p| p.at(now)),
+                "fronts": part.map(|p| p.count),
+                "from_ms": part.map(|p| p.from.saturating_sub(now).as_millis() as u64),
+                "for_ms": part.map(|p| p.until.saturating_sub(now).as_millis() as u64),
+            },
+            "witness": m.witness().map(|w| w.holders()),
+            "stepped_back": m.stepped_back().map(|w| w.address),
+            "datagrams": {
+                "taken": status.taken, "sent": status.sent, "sent_bytes": status.sent_bytes,
+                "refused": serde_json::Map::from_iter(refused),
+            },
+            "members": seen.collect::<Vec<_>>(),
+        })
+    }
+
+    /// What is to be sent, and what happened, by the log.
+    fn done(&self) -> Vec<Outgoing> {
+        let mut m = self.member();
+        for notice in m.take_notices() {
+            let name = &m.me().name;
+            match notice {
+                Notice::StoodStill(d) => {
+                    tracing::warn!(member = %name, ms = d.as_millis() as u64, "stood still: what was believed is doubted")
+                }
+                Notice::Risen(who) => {
+                    tracing::warn!(member = %name, life = %who.life, "was taken for gone: goes on as a new life")
+                }
+                Notice::StepBack(who) => tracing::error!(
+                    member = %name, address = %who.address, life = %who.life,
+                    "another, younger process bears this front's name: this one takes nothing new"
+                ),
+            }
+        }
+        m.take_out()
+    }
+
+    /// Somebody to ask for all that they hold: drawn among those that are there and have a side address.
+    fn somebody(&self) -> Option<SocketAddr> {
+        let m = self.member();
+        let me = m.me().address;
+        let there = m.view().members.values().filter(|s| s.sure == Sure::There && s.who.address != me);
+        fastrand::choice(there.filter_map(|s| s.who.side).collect::<Vec<_>>())
+    }
+
+    /// Asks a member for all that it holds.
+    async fn ask(&self, peer: SocketAddr) {
+        let nonce = fastrand::u64(..);
+        let taken = match timeout(WITHIN, question(peer, nonce)).await {
+            Ok(Some(body)) => self.member().sync(self.clock.now(), nonce, &body).map_err(|e| e.to_string()),
+            Ok(None) => Err("no answer that can be used".into()),
+            Err(_) => Err("no answer in time".into()),
+        };
+        if let Err(error) = taken {
+            tracing::info!(%peer, error, "a member's list is not taken");
+        }
+    }
+}
+
+async fn question(peer: SocketAddr, nonce: u64) -> Option<Vec<u8>> {
+    let mut conn = connect(peer).await.ok()?;
+    let target = Target::parse(format!("{PATH}?{NONCE}={nonce}").into())?;
+    let mut head = RequestHead::get(target);
+    head.headers.push("host", peer.to_string());
+    conn.send(head, Bytes::new()).await.ok()?;
+    let head = conn.head().await.ok()?;
+    let mut body = Vec::new();
+    while let Some(data) = conn.data().await.ok()? {
+        body.extend_from_slice(&data);
+        if body.len() > MOST_BODY {
+            return None;
+        }
+    }
+    (head.status == 200).then_some(body)
+}
+
+/// Runs until `stop`, then leaves with a word.
+pub(crate) async fn run(fleet: Arc<Fleet>, socket: UdpSocket, every: Duration, stop: CancellationToken) {
+    let clock = fleet.clock;
+    let mut next_sync = clock.now() + every.mul_f64(fastrand::f64());
+    // One byte more than any may have: a longer one is seen to be too long.
+    let mut buf = [0; MOST_DATAGRAM + 1];
+    let mut asking = std::pin::pin!(None);
+    loop {
+        for Outgoing { to, bytes } in fleet.done() {
+            // A full socket buffer or a peer that refuses loses it, as the network may.
+            let _ = socket.try_send_to(&bytes, to);
+        }
+        let due = fleet.member().next_due().min(next_sync);
+        tokio::select! {
+            () = stop.cancelled() => break,
+            got = socket.recv_from(&mut buf) => {
+                if let Ok((n, from)) = got {
+                    if let Err(why) = fleet.member().datagram(clock.now(), &buf[..n]) {
+                        tracing::debug!(%from, error = %why, "a datagram is not taken");
+                    }
+                }
+            }
+            () = async { if let Some(ask) = asking.as_mut().as_pin_mut() { ask.await } }, if asking.is_some() => {
+                asking.set(None);
+            }
+            () = sleep_until(clock.instant(due)) => {
+                let now = clock.now();
+                fleet.member().tick(now);
+                if now >= next_sync {
+                    next_sync = now + every;
+                    if let (true, Some(peer)) = (asking.is_none(), fleet.somebody()) {
+                        asking.set(Some(fleet.ask(peer)));
+                    }
+                }
+            }
+        }
+    }
+    fleet.member().leave(clock.now());
+    for Outgoing { to, bytes } in fleet.done() {
+        let _ = socket.try_send_to(&bytes, to);
+    }
+}
--- a/crates/front/src/side.rs
+++ b/crates/front/src/side.rs
@@ -1,5 +1,6 @@
 //! The side address: `/health` and `/metrics` for operators, `/v1/knowledge` for peers.
 
+use crate::members::{self, Fleet};
 use crate::peers::{AFTER, FORMAT_ARG, FROM, HOLD_OFF, NONCE, PATH};
 use crate::Shared;
 use bytes::Bytes;
@@ -37,6 +38,7 @@
     level: Mutex<(Level, Why)>,
     peers: Mutex<BTreeSet<SocketAddr>>,
     feeds: Mutex<Feeds>,
+    fleet: Option<Arc<Fleet>>,
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -44,7 +46,7 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: &cloverhollow_settings::Peers) -> Self {
+    pub(crate) fn new(settings: &cloverhollow_settings::Peers, fleet: Option<Arc<Fleet>>) -> Self {
         State {
             version: AtomicU64::new(0),
             serving: AtomicU64::new(0),
@@ -55,6 +57,7 @@
             level: Mutex::new((Level::Cold, Why::NotBegun)),
             peers: Mutex::new(settings.addresses.iter().copied().collect()),
             feeds: Mutex::new(Feeds::new(settings.feeds.count(), settings.hold_off_ms.get())),
+            fleet,
         }
     }
 
@@ -96,6 +99,16 @@
         }
     }
 
+    /// The younger process of this front's name, where there is one: then this one takes nothing new.
+    pub(crate) fn stepped_back(&self) -> Option<SocketAddr> {
+        self.fleet.as_ref()?.stepped_back()
+    }
+
+    /// How many fronts the decisions may reckon with, where fronts are counted: [`Fleet::counted`].
+    pub(crate) fn counted(&self) -> Option<Option<usize>> {
+        self.fleet.as_ref()?.counted()
+    }
+
     /// Peers that are known from elsewhere.
     pub(crate) fn set_peers(&self, all: Vec<SocketAddr>) {
         let mut peers = lock(&self.peers);
@@ -142,6 +155,11 @@
     let (status, body) = match request.target.path() {
         "/health" => health(shared, state),
         "/metrics" => (200, metrics(shared, state)),
+        members::PAGE => match &state.fleet {
+            Some(fleet) => (200, fleet.page().to_string()),
+            None => (404, String::new()),
+        },
+        members::PATH => return tell_members(&mut conn, &request, state).await,
         PATH => return knowledge(&mut conn, &request, shared, state).await,
         _ => (404, String::new()),
     };
@@ -159,7 +177,9 @@
     let closed = state.closed_for(shared.clock.now());
     let (proven, deaths) = state.before.get().cloned().unwrap_or_default();
     let failing = shared.journal.status.failing();
-    let why = if !closed.is_zero() {
+    let why = if let Some(other) = state.stepped_back() {
+        format!("another, younger process bears this name, at {other}")
+    } else if !closed.is_zero() {
         format!("{deaths} deaths one after the other: closed for {} ms", closed.as_millis())
     } else if let Some(error) = &failing {
         format!("paid set-ups cannot be taken down: {error}")
@@ -201,6 +221,15 @@
     text
 }
 
+/// A member asks for all that this one holds of the others.
+async fn tell_members(conn: &mut ServerConn, request: &RequestHead, state: &State) {
+    let nonce = request.target.argument(members::NONCE).and_then(|t| t.parse::<u64>().ok());
+    let body = nonce.and_then(|nonce| state.fleet.as_ref()?.records(nonce));
+    let status = if body.is_some() { 200 } else { 404 };
+    let body = body.unwrap_or_default();
+    say(conn, ResponseHead::new(status, body.len()), body).await;
+}
+
 /// A peer asks: the whole, a delta, or the rest of what was cut off.
 async fn knowledge(conn: &mut ServerConn, request: &RequestHead, shared: &Shared, state: &State) {
     let number = |name: &str| request.target.argument(name).and_then(|t| t.parse::<u64>().ok());
--- /dev/null
+++ b/crates/members/src/heads.rs
@@ -0,0 +1,122 @@
+//! How many fronts there are at the most: a member's side of the leases.
+//!
+//! Why one over the count sums to no more than one over all fronts is in `docs/fleet.md`, 'Why the sum holds';
+//! `tests/model.rs` looks at all interleavings of a small fleet.
+
+use crate::words::{Counted, Renew};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A witness keeps a renewal for a lease, this part of one (clocks that differ in pace) and [`LATE`] longer.
+const PACE: u32 = 10;
+/// What was decided under a lease is sent so long after it at the most.
+const LATE: Duration = Duration::from_secs(2);
+/// Rounds in a lease: all but one may be lost.
+const ROUNDS: u32 = 4;
+
+/// A front's part of what the fleet may do: one over the count, within these times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Part {
+    /// How many fronts there are at the most.
+    pub count: usize,
+    /// It holds from then on...
+    pub from: Duration,
+    /// ...until then.
+    pub until: Duration,
+}
+
+impl Part {
+    /// The count, where it holds at that time. To be asked at the time of use: whoever stood still holds nothing.
+    pub fn at(&self, now: Duration) -> Option<usize> {
+        (self.from <= now && now < self.until).then_some(self.count.max(1))
+    }
+}
+
+/// A member's side.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Heads {
+    me: SocketAddr,
+    holder: u64,
+    lease: Duration,
+    witnesses: Vec<SocketAddr>,
+    round: u64,
+    begun: Duration,
+    answers: BTreeMap<SocketAddr, Counted>,
+    part: Option<Part>,
+    next: Duration,
+}
+
+impl Heads {
+    /// `me`: where answers go; `holder`: drawn at the process's start. Without witnesses there is never a part.
+    pub fn new(
+        now: Duration,
+        me: SocketAddr,
+        holder: u64,
+        lease: Duration,
+        witnesses: Vec<SocketAddr>,
+    ) -> Heads {
+        let answers = BTreeMap::new();
+        Heads { me, holder, lease, witnesses, round: 0, begun: now, answers, part: None, next: now }
+    }
+
+    /// How long witnesses keep a renewal, and a newcomer waits before it takes a part.
+    pub fn hold(lease: Duration) -> Duration {
+        lease + lease / PACE + LATE
+    }
+
+    /// When the next round is due.
+    pub fn next_due(&self) -> Option<Duration> {
+        (!self.witnesses.is_empty()).then_some(self.next)
+    }
+
+    /// Begins a round if one is due: what goes to each witness.
+    pub fn due(&mut self, now: Duration) -> Option<(Renew, Vec<SocketAddr>)> {
+        if self.witnesses.is_empty() || now < self.next {
+            return None;
+        }
+        self.round += 1;
+        (self.begun, self.next) = (now, now + self.lease / ROUNDS);
+        self.answers.clear();
+        Some((Renew { holder: self.holder, round: self.round, reply: self.me }, self.witnesses.clone()))
+    }
+
+    /// A witness's answer; those of another round, of strangers and of the blind count for nothing.
+    pub fn counted(&mut self, now: Duration, counted: Counted) {
+        let majority = self.witnesses.len() / 2 + 1;
+        let counts =
+            counted.round == self.round && !counted.blind && self.witnesses.contains(&counted.witness);
+        if !counts || self.answers.len() >= majority {
+            return;
+        }
+        self.answers.insert(counted.witness, counted);
+        if self.answers.len() < majority {
+            return;
+        }
+        // The lease runs from before the first question went out.
+        let until = self.begun + self.lease;
+        let without_gap = self.part.filter(|p| now < p.until);
+        let from = without_gap.map_or(now + Heads::hold(self.lease), |p| p.from);
+        self.part = Some(Part { count: union(self.answers.values()), from, until });
+    }
+
+    /// The part as it stands; to be asked by [`Part::at`] at the time of use.
+    pub fn part(&self) -> Option<Part> {
+        self.part
+    }
+
+    /// Witnesses that answered this round.
+    pub fn answered(&self) -> usize {
+        self.answers.len()
+    }
+}
+
+/// How many all of these know of together, at the most: their number if they know the same ones, else the sum.
+fn union<'a>(answers: impl Iterator<Item = &'a Counted> + Clone) -> usize {
+    let mut all = answers.clone().map(|c| (c.count, c.print));
+    let Some(first) = all.next() else { return usize::MAX };
+    if all.all(|c| c == first) {
+        return first.0 as usize;
+    }
+    answers.map(|c| c.count as usize).sum()
+}
--- /dev/null
+++ b/crates/members/src/seal.rs
@@ -0,0 +1,191 @@
+//! Datagrams that strangers can neither make nor repeat: a MAC by keys with ids, and a window for each sender.
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+
+/// Longest datagram, sealed: what passes unbroken on usual networks (RFC 8085, 3.2).
+pub const MOST_DATAGRAM: usize = 1_400;
+/// Longest sealed body: all members that may be known, with the longest names.
+pub const MOST_BODY: usize = 1024 * 1024;
+/// Most senders whose windows are kept; past them the one that was heard longest ago goes.
+pub const MOST_SOURCES: usize = 4_096;
+
+const FORMAT: u8 = 1;
+const MAC: usize = 16;
+/// Format, key, sender, number.
+const HEAD: usize = 1 + 4 + 8 + 8;
+/// What a seal adds.
+pub(crate) const OVERHEAD: usize = HEAD + MAC;
+/// Numbers behind the highest heard that may still come, each once.
+const WINDOW: u64 = 128;
+
+/// A shared secret and its id.
+#[derive(Clone)]
+pub struct Key {
+    /// Its id.
+    pub id: u32,
+    /// The secret, 16 bytes or more.
+    pub secret: Vec<u8>,
+}
+
+impl fmt::Debug for Key {
+    /// Without the secret.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Key {}", self.id)
+    }
+}
+
+/// Why a datagram was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Refused {
+    /// Not one of these.
+    #[error("not a datagram of this format")]
+    Format,
+    /// By a key that is not held here.
+    #[error("unknown key")]
+    Key,
+    /// Its MAC is wrong.
+    #[error("wrong MAC")]
+    Mac,
+    /// It came before, or too late to tell.
+    #[error("repeated")]
+    Repeated,
+    /// Its words cannot be read.
+    #[error("unreadable")]
+    Unreadable,
+    /// More members than may be known.
+    #[error("too many members")]
+    TooMany,
+}
+
+/// The numbers heard of one sender (RFC 4303, 3.4.3).
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    highest: u64,
+    /// Bit n: `highest - n` was heard.
+    heard: u128,
+    /// When, by the count of datagrams taken.
+    last: u64,
+}
+
+impl Window {
+    fn take(&mut self, number: u64) -> bool {
+        if number > self.highest {
+            let by = number - self.highest;
+            self.heard = if by >= WINDOW { 0 } else { self.heard << by };
+            (self.highest, self.heard) = (number, self.heard | 1);
+            return true;
+        }
+        let behind = self.highest - number;
+        let bit = if behind < WINDOW { 1u128 << behind } else { return false };
+        let new = self.heard & bit == 0;
+        self.heard |= bit;
+        new
+    }
+}
+
+/// The keys that are held, and what was heard under them.
+#[derive(Debug)]
+pub struct Keys {
+    keys: BTreeMap<u32, Key>,
+    windows: HashMap<u64, Window>,
+    taken: u64,
+}
+
+type HmacSha256 = Hmac<Sha256>;
+
+fn mac(key: &Key, head: &[u8], payload: &[u8]) -> HmacSha256 {
+    let mut mac = <HmacSha256 as Mac>::new_from_slice(&key.secret).unwrap_or_else(|_| {
+        // HMAC takes keys of any length; a library that did not would be given none.
+        <HmacSha256 as Mac>::new(&Default::default())
+    });
+    mac.update(head);
+    mac.update(payload);
+    mac
+}
+
+impl Keys {
+    /// Those that datagrams are taken under.
+    pub fn new(keys: &[Key]) -> Keys {
+        let keys = keys.iter().map(|k| (k.id, k.clone())).collect();
+        Keys { keys, windows: HashMap::new(), taken: 0 }
+    }
+
+    /// What is in a datagram, and which process sent it.
+    ///
+    /// # Errors
+    /// It is a stranger's, or came before.
+    pub fn open<'a>(&mut self, datagram: &'a [u8]) -> Result<(u64, &'a [u8]), Refused> {
+        self.open_up_to(datagram, MOST_DATAGRAM)
+    }
+
+    /// The same for what came as one body over a connection.
+    ///
+    /// # Errors
+    /// As above.
+    pub fn open_body<'a>(&mut self, body: &'a [u8]) -> Result<(u64, &'a [u8]), Refused> {
+        self.open_up_to(body, MOST_BODY)
+    }
+
+    fn open_up_to<'a>(&mut self, datagram: &'a [u8], most: usize) -> Result<(u64, &'a [u8]), Refused> {
+        if datagram.len() < OVERHEAD || datagram.len() > most || datagram[0] != FORMAT {
+            return Err(Refused::Format);
+        }
+        let (head, rest) = datagram.split_at(HEAD);
+        let (tag, payload) = rest.split_at(MAC);
+        let number = |at: usize| u64::from_be_bytes(std::array::from_fn(|i| head[at + i]));
+        let id = u32::from_be_bytes(std::array::from_fn(|i| head[1 + i]));
+        let key = self.keys.get(&id).ok_or(Refused::Key)?;
+        mac(key, head, payload).verify_truncated_left(tag).map_err(|_| Refused::Mac)?;
+        // Only what bears a good MAC makes or moves a window.
+        let (source, number) = (number(5), number(13));
+        self.taken += 1;
+        if !self.windows.contains_key(&source) && self.windows.len() >= MOST_SOURCES {
+            let oldest = self.windows.iter().min_by_key(|(_, w)| w.last).map(|(s, _)| *s);
+            oldest.and_then(|s| self.windows.remove(&s));
+        }
+        let window = self.windows.entry(source).or_default();
+        window.last = self.taken;
+        if window.take(number) {
+            Ok((source, payload))
+        } else {
+            Err(Refused::Repeated)
+        }
+    }
+
+    /// Senders that are remembered.
+    pub fn sources(&self) -> usize {
+        self.windows.len()
+    }
+}
+
+/// Seals what one process sends.
+#[derive(Debug)]
+pub struct Sealer {
+    key: Key,
+    source: u64,
+    number: u64,
+}
+
+impl Sealer {
+    /// `source`: drawn at the process's start, so that its numbers may begin anew.
+    pub fn new(key: Key, source: u64) -> Sealer {
+        Sealer { key, source, number: 0 }
+    }
+
+    /// A datagram with that payload.
+    pub fn seal(&mut self, payload: &[u8]) -> Vec<u8> {
+        self.number += 1;
+        let mut out = Vec::with_capacity(OVERHEAD + payload.len());
+        out.push(FORMAT);
+        out.extend_from_slice(&self.key.id.to_be_bytes());
+        out.extend_from_slice(&self.source.to_be_bytes());
+        out.extend_from_slice(&self.number.to_be_bytes());
+        let tag = mac(&self.key, &out, payload).finalize().into_bytes();
+        out.extend_from_slice(&tag[..MAC]);
+        out.extend_from_slice(payload);
+        out
+    }
+}
--- /dev/null
+++ b/crates/members/src/witness.rs
@@ -0,0 +1,50 @@
+//! A witness: who has renewed a lease, for a while.
+
+use crate::words::{Counted, Renew};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most processes that a witness remembers; past them it is blind.
+pub const MOST_HOLDERS: usize = 65_536;
+
+/// Remembers who renewed, each for the hold. It keeps nothing over its own death, and says so.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Witness {
+    me: SocketAddr,
+    hold: Duration,
+    /// It knows of everybody that may still hold a lease from then on.
+    sees_from: Duration,
+    renewed: BTreeMap<u64, Duration>,
+}
+
+impl Witness {
+    /// One that starts now. `me`: as the settings name it; `hold`: as all members have it.
+    pub fn new(now: Duration, me: SocketAddr, hold: Duration) -> Witness {
+        Witness { me, hold, sees_from: now + hold, renewed: BTreeMap::new() }
+    }
+
+    /// A member renews: its answer counts all that may hold a lease, the asker included.
+    pub fn renew(&mut self, now: Duration, renew: Renew) -> Counted {
+        let hold = self.hold;
+        self.renewed.retain(|_, at| *at + hold > now);
+        if self.renewed.len() < MOST_HOLDERS || self.renewed.contains_key(&renew.holder) {
+            self.renewed.insert(renew.holder, now);
+        } else {
+            // It can't remember this one: it must not vouch for a count without it for as long as it may hold.
+            self.sees_from = now + hold;
+        }
+        Counted {
+            witness: self.me,
+            round: renew.round,
+            count: u32::try_from(self.renewed.len()).unwrap_or(u32::MAX),
+            print: self.renewed.keys().fold(0, |print, holder| print ^ holder),
+            blind: now < self.sees_from,
+        }
+    }
+
+    /// Processes that it remembers.
+    pub fn holders(&self) -> usize {
+        self.renewed.len()
+    }
+}
--- /dev/null
+++ b/crates/members/tests/net/mod.rs
@@ -0,0 +1,204 @@
+//! Many members over a network in virtual time: loss, delay, cuts, stalls, deaths. The same seed plays the same day.
+#![allow(dead_code)] // each test binary uses a part of it
+
+use cloverhollow_members::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn address(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (i / 250) as u8, (i % 250) as u8 + 1], 7946))
+}
+
+pub fn key(id: u32) -> Key {
+    Key { id, secret: vec![id as u8; 32] }
+}
+
+pub struct Net {
+    pub now: Duration,
+    pub members: Vec<Option<Member>>,
+    /// Whether a datagram from one to another is lost for sure, beside `loss`.
+    pub cut: Box<dyn Fn(usize, usize) -> bool>,
+    pub loss: f64,
+    pub delay: Duration,
+    /// Members that stand still until then: what comes for them waits, 256 datagrams at most.
+    pub stopped: BTreeMap<usize, Duration>,
+    pub notices: Vec<(usize, Notice)>,
+    queue: BTreeMap<(Duration, u64), (usize, Vec<u8>)>,
+    sent: u64,
+    rng: ChaCha8Rng,
+    pub settings: MemberSettings,
+    /// Unix time at the start of the day, ms.
+    pub wall: u64,
+}
+
+impl Net {
+    /// `n` members in three halls, the first five of them seeds and the first three witnesses, none started.
+    pub fn new(n: usize, seed: u64) -> Net {
+        let me = Who {
+            address: address(0),
+            side: None,
+            name: "".into(),
+            hall: "".into(),
+            life: Life { number: 0, token: 0 },
+        };
+        let swim = SwimSettings { seeds: (0..5).map(address).collect(), ..SwimSettings::default() };
+        let settings = MemberSettings {
+            me,
+            keys: vec![key(1)],
+            swim,
+            lease: ms(4_000),
+            witnesses: (0..3).map(address).collect(),
+            seed: 0,
+        };
+        Net {
+            now: Duration::from_secs(86_400),
+            members: (0..n).map(|_| None).collect(),
+            cut: Box::new(|_, _| false),
+            loss: 0.0,
+            delay: ms(2),
+            stopped: BTreeMap::new(),
+            notices: Vec::new(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            settings,
+            wall: 1_000_000,
+        }
+    }
+
+    pub fn wall(&self) -> u64 {
+        self.wall + self.now.as_millis() as u64
+    }
+
+    /// Starts a member whose clock is off by that many ms.
+    pub fn start_at(&mut self, i: usize, name: &str, off: i64) {
+        let mut set = self.settings.clone();
+        let number = self.wall().saturating_add_signed(off);
+        set.me = Who {
+            address: address(i),
+            side: None,
+            name: name.into(),
+            hall: format!("hal-{}", i % 3).as_str().into(),
+            life: Life { number, token: self.rng.random() },
+        };
+        set.seed = self.rng.random();
+        self.members[i] = Some(Member::new(self.now, set));
+    }
+
+    pub fn start(&mut self, i: usize) {
+        self.start_at(i, &format!("front-{i}"), 0);
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.members.len()).for_each(|i| self.start(i));
+    }
+
+    /// Something that was not sent by a member.
+    pub fn throw(&mut self, to: usize, bytes: Vec<u8>) {
+        self.sent += 1;
+        self.queue.insert((self.now + self.delay, self.sent), (to, bytes));
+    }
+
+    fn index(a: SocketAddr) -> Option<usize> {
+        let SocketAddr::V4(a) = a else { return None };
+        let [_, _, hi, lo] = a.ip().octets();
+        Some(usize::from(hi) * 250 + usize::from(lo) - 1)
+    }
+
+    fn flush(&mut self, i: usize) {
+        let Some(m) = self.members[i].as_mut() else { return };
+        let (out, notices) = (m.take_out(), m.take_notices());
+        self.notices.extend(notices.into_iter().map(|n| (i, n)));
+        for Outgoing { to, bytes } in out {
+            assert!(bytes.len() <= MOST_DATAGRAM, "{} bytes", bytes.len());
+            let Some(to) = Net::index(to) else { continue };
+            if (self.cut)(i, to) || self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let jitter = self.delay.mul_f64(self.rng.random::<f64>());
+            self.sent += 1;
+            self.queue.insert((self.now + self.delay + jitter, self.sent), (to, bytes));
+        }
+    }
+
+    /// Plays on until then.
+    pub fn until(&mut self, end: Duration) {
+        loop {
+            let awake = |i: &usize| self.stopped.get(i).copied().unwrap_or_default();
+            let due = self.members.iter().enumerate();
+            let due = due.filter_map(|(i, m)| Some((m.as_ref()?.next_due().max(awake(&i)), i))).min();
+            let datagram = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let next = due.map(|d| d.0).into_iter().chain(datagram).min().unwrap_or(end);
+            if next >= end {
+                self.now = self.now.max(end);
+                return;
+            }
+            self.now = self.now.max(next);
+            if datagram.is_some_and(|at| at <= self.now) {
+                let Some((_, (to, bytes))) = self.queue.pop_first() else { continue };
+                let awake = awake(&to);
+                if awake > self.now {
+                    self.sent += 1;
+                    self.queue.insert((awake, self.sent), (to, bytes));
+                } else if let Some(m) = self.members.get_mut(to).and_then(Option::as_mut) {
+                    let _ = m.datagram(self.now, &bytes);
+                    self.flush(to);
+                }
+            } else if let Some((_, i)) = due {
+                if let Some(m) = self.members[i].as_mut() {
+                    m.tick(self.now);
+                    self.flush(i);
+                }
+            }
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        self.until(self.now + span);
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = (usize, &Member)> {
+        self.members.iter().enumerate().filter_map(|(i, m)| Some((i, m.as_ref()?)))
+    }
+
+    /// How `by` sees `of`.
+    pub fn sees(&self, by: usize, of: usize) -> Option<Sure> {
+        let view = self.members[by].as_ref()?.view();
+        view.members.get(&address(of)).map(|s| s.sure)
+    }
+
+    /// Whether all that live see each other as there and nobody else.
+    pub fn agreed(&self) -> bool {
+        let live: Vec<usize> = self.live().map(|(i, _)| i).collect();
+        self.live().all(|(_, m)| m.view().at_most() == live.len() && m.view().at_least() == live.len())
+    }
+
+    /// Runs until that is so for that many; whether it came to be.
+    pub fn until_agreed_of(&mut self, n: usize, most: Duration) -> bool {
+        self.until_agreed(most).is_some() && self.live().count() == n
+    }
+
+    /// Runs until that is so; how long it took.
+    pub fn until_agreed(&mut self, most: Duration) -> Option<Duration> {
+        let begun = self.now;
+        while self.now < begun + most {
+            self.run(ms(100));
+            if self.agreed() {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    /// The sum of one over the counts in force: rule 4 wants one at the most.
+    pub fn parts(&self) -> f64 {
+        self.live().filter_map(|(_, m)| m.part()?.at(self.now)).map(|n| 1.0 / n as f64).sum()
+    }
+}
--- /dev/null
+++ b/crates/members/tests/swim.rs
@@ -0,0 +1,216 @@
+//! The view under each hard case, in virtual time; `lab/tests/members.rs` has them over processes and wires.
+
+mod net;
+
+use cloverhollow_members::*;
+use net::{address, key, ms, Net};
+use std::time::Duration;
+
+const SUSPICION: Duration = Duration::from_millis(3_000);
+
+fn settled(n: usize, seed: u64) -> Net {
+    let mut net = Net::new(n, seed);
+    net.start_all();
+    assert!(net.until_agreed(ms(20_000)).is_some(), "{n} members never found each other");
+    net
+}
+
+#[test]
+fn half_of_all_killed_together_are_missed_and_found_again() {
+    let mut net = settled(24, 1);
+    // Two of the five seeds are among them.
+    (0..24).step_by(2).for_each(|i| net.members[i] = None);
+    let missed = net.until_agreed(ms(40_000)).expect("missed");
+    assert!(missed > SUSPICION, "nobody is taken for gone before it could object");
+    (0..24).step_by(2).for_each(|i| net.start(i));
+    assert!(net.until_agreed(ms(20_000)).is_some(), "found again");
+}
+
+#[test]
+fn under_loss_the_dead_are_missed_and_the_living_come_back() {
+    for (loss, seed) in [(0.1, 2), (0.4, 3)] {
+        let mut net = settled(24, seed);
+        net.loss = loss;
+        net.members[7] = None;
+        net.run(ms(60_000));
+        let missing = net.live().filter(|(i, _)| net.sees(*i, 7) == Some(Sure::Gone)).count();
+        assert_eq!(missing, 23, "{loss}");
+        net.loss = 0.0;
+        assert!(net.until_agreed(ms(20_000)).is_some(), "{loss}: nobody stays wrongly gone");
+    }
+}
+
+#[test]
+fn loss_in_one_direction_takes_nobody_for_gone() {
+    let mut net = settled(12, 4);
+    // What 3 sends reaches nobody but 4 and 5; all of it comes back to 3.
+    net.cut = Box::new(|from, to| from == 3 && to > 5);
+    net.run(ms(30_000));
+    assert!(net.live().all(|(i, _)| net.sees(i, 3) != Some(Sure::Gone)), "others heard it");
+}
+
+#[test]
+fn a_hall_that_was_cut_off_comes_back() {
+    let mut net = settled(24, 5);
+    net.cut = Box::new(|from, to| (from % 3 == 1) != (to % 3 == 1));
+    net.run(ms(20_000));
+    let there = |net: &Net, i: usize| net.members[i].as_ref().map(|m| m.view().at_most());
+    assert_eq!((there(&net, 0), there(&net, 1)), (Some(16), Some(8)), "each side sees its own");
+    net.cut = Box::new(|_, _| false);
+    let healed = net.until_agreed(ms(30_000)).expect("healed");
+    assert!(healed < ms(20_000), "{healed:?}");
+}
+
+#[test]
+fn a_member_that_stood_still_doubts_what_it_believed_and_is_taken_back() {
+    for part in [0.5, 2.0, 10.0] {
+        let mut net = settled(12, 6);
+        let span = SUSPICION.mul_f64(part);
+        net.stopped.insert(4, net.now + span);
+        net.run(span + ms(200));
+        let own = net.members[4].as_ref().unwrap().view();
+        assert_eq!(
+            own.at_most(),
+            12,
+            "{part}: it takes nobody for gone by time-outs that ran while it stood"
+        );
+        let knew =
+            net.notices.iter().any(|(i, n)| *i == 4 && matches!(n, Notice::StoodStill(d) if *d > span / 2));
+        assert_eq!(knew, part >= 2.0, "{part}");
+        assert!(net.until_agreed(ms(30_000)).is_some(), "{part}");
+    }
+}
+
+#[test]
+fn a_flapping_member_ends_as_its_last_life() {
+    let mut net = settled(12, 7);
+    for round in 0..8 {
+        net.members[9] = None;
+        net.run(ms(700 + 300 * round));
+        net.start(9);
+        net.run(ms(900));
+    }
+    assert!(net.until_agreed(ms(20_000)).is_some());
+    let lives: Vec<Life> = net.live().map(|(_, m)| m.view().members[&address(9)].who.life).collect();
+    assert!(lives.windows(2).all(|w| w[0] == w[1]), "all know the same life");
+}
+
+#[test]
+fn a_life_whose_clock_is_behind_its_last_one_is_believed_all_the_same() {
+    let mut net = settled(12, 8);
+    net.members[9] = None;
+    net.run(ms(1_000));
+    // A day behind: each refusal raises it by twice as much.
+    net.start_at(9, "front-9", -86_400_000);
+    assert!(net.until_agreed(ms(30_000)).is_some());
+    assert!(net.notices.iter().any(|(i, n)| *i == 9 && matches!(n, Notice::Risen(_))));
+}
+
+#[test]
+fn of_two_processes_of_one_name_the_older_steps_back_and_a_dead_one_moves_nobody() {
+    let mut net = Net::new(13, 9);
+    (0..12).for_each(|i| net.start(i));
+    assert!(net.until_agreed_of(12, ms(20_000)));
+    net.start_at(12, "front-5", 0);
+    net.run(ms(10_000));
+    let back = |net: &Net, i: usize| net.members[i].as_ref().unwrap().stepped_back().cloned();
+    assert_eq!(back(&net, 5).map(|w| w.address), Some(address(12)), "the older one");
+    assert_eq!(back(&net, 12), None);
+    assert!(net.notices.iter().any(|(i, n)| *i == 5 && matches!(n, Notice::StepBack(_))));
+
+    // One that comes back elsewhere with a clock that is behind: its last life is dead, and nobody steps back.
+    let mut net = Net::new(13, 10);
+    (0..12).for_each(|i| net.start(i));
+    assert!(net.until_agreed_of(12, ms(20_000)));
+    net.members[5] = None;
+    net.start_at(12, "front-5", -3_600_000);
+    net.run(ms(20_000));
+    assert_eq!(back(&net, 12), None);
+}
+
+#[test]
+fn a_late_datagram_of_an_earlier_life_changes_nothing() {
+    let mut net = settled(6, 11);
+    // An old life's word, kept back by the network: sealed by the old process, never delivered.
+    let mut old = net.members[3].take().unwrap();
+    net.run(ms(100));
+    old.tick(net.now + ms(600));
+    let late = old.take_out();
+    assert!(!late.is_empty());
+    net.start(3);
+    assert!(net.until_agreed(ms(20_000)).is_some());
+    net.run(ms(5_000));
+    let before: Vec<u64> = net.live().map(|(_, m)| m.view().number).collect();
+    for i in 0..6 {
+        late.iter().for_each(|d| net.throw(i, d.bytes.clone()));
+    }
+    net.run(ms(5_000));
+    let after: Vec<u64> = net.live().map(|(_, m)| m.view().number).collect();
+    assert_eq!((before, net.agreed()), (after, true));
+}
+
+#[test]
+fn of_a_list_of_which_half_has_gone_the_rest_is_found() {
+    let mut net = settled(24, 12);
+    let records = net.members[20].as_mut().unwrap().records(77).unwrap();
+    (0..11).for_each(|i| net.members[i] = None);
+    net.run(ms(60_000));
+    // All seeds are gone; it comes back with what it kept.
+    net.start(23);
+    let now = net.now;
+    assert!(
+        net.members[23].as_mut().unwrap().sync(now, 78, &records).is_err(),
+        "an answer to another question"
+    );
+    let records = net.members[22].as_mut().unwrap().records(79).unwrap();
+    net.members[23].as_mut().unwrap().sync(now, 79, &records).unwrap();
+    assert!(net.until_agreed(ms(60_000)).is_some());
+}
+
+#[test]
+fn a_seed_that_is_gone_is_asked_in_vain_and_another_one_answers() {
+    let mut net = Net::new(12, 13);
+    (4..12).for_each(|i| net.start(i));
+    assert!(net.until_agreed(ms(20_000)).is_some(), "only the fifth seed is there");
+}
+
+#[test]
+fn who_leaves_with_a_word_is_missed_at_once() {
+    let mut net = settled(24, 14);
+    let now = net.now;
+    net.members[20].as_mut().unwrap().leave(now);
+    net.run(ms(1_500));
+    let gone = (0..20).filter(|i| net.sees(*i, 20) == Some(Sure::Gone)).count();
+    assert_eq!(gone, 20, "sooner than any suspicion");
+}
+
+#[test]
+fn garbage_strangers_and_replays_by_the_thousand_change_nothing() {
+    let mut net = settled(6, 15);
+    let mut spy = net.members[2].take().unwrap();
+    spy.tick(net.now + ms(600));
+    let sealed: Vec<Vec<u8>> = spy.take_out().into_iter().map(|d| d.bytes).collect();
+    net.members[2] = Some(spy);
+    assert!(!sealed.is_empty());
+    net.run(ms(2_000));
+    let mut stranger = Sealer::new(Key { id: 1, secret: vec![99; 32] }, 5);
+    let mut insider = Sealer::new(key(1), 6);
+    let before: Vec<_> = net.live().map(|(_, m)| (m.view().number, m.status().refused.clone())).collect();
+    for n in 0..2_000u64 {
+        net.throw(1, n.to_be_bytes().repeat(9));
+        net.throw(1, stranger.seal(b"word"));
+        net.throw(1, insider.seal(&n.to_be_bytes()));
+        net.throw(1, sealed[n as usize % sealed.len()].clone());
+        if n % 100 == 0 {
+            net.run(ms(10));
+        }
+    }
+    net.run(ms(3_000));
+    let after = net.members[1].as_ref().unwrap();
+    assert_eq!(after.view().number, before[1].0);
+    let refused = &after.status().refused;
+    for why in [Refused::Format, Refused::Mac, Refused::Unreadable, Refused::Repeated] {
+        assert!(refused.get(&why).is_some_and(|n| *n >= 1_900), "{why}: {refused:?}");
+    }
+    assert!(net.agreed());
+}
--- a/crates/record/src/forms.rs
+++ b/crates/record/src/forms.rs
@@ -124,6 +124,9 @@
     Timer(u64),
     Heard(#[serde(with = "HeardForm")] Heard),
     Before(#[serde(with = "BeforeForm")] Before),
+    Counted {
+        fronts: Option<usize>,
+    },
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -193,6 +193,7 @@
                 }
                 self.commands.push(Command::Merged { peer, outcome });
             }
+            Input::Counted { fronts } => self.events.push(Event::Counted { fronts }),
             Input::Recovered(recovered) => self.recovered(*recovered),
             Input::Remembered(message) => {
                 let heard = self.learning.remember(self.now, &message);
--- a/crates/session/src/types.rs
+++ b/crates/session/src/types.rs
@@ -220,6 +220,12 @@
         /// The answer.
         message: Box<Message>,
     },
+    /// How many fronts there are at the most, itself included, by a count that holds now; `None`: none holds any more.
+    /// Where fronts are not counted it never comes, and the settings' number holds.
+    Counted {
+        /// See above.
+        fronts: Option<usize>,
+    },
     /// The message that this front itself kept before its start.
     Remembered(Box<Message>),
     /// What is proven of this front's earlier lives; before anything else, or never.
