Wires between processes that cut, lose, delay, double, reset and slow down; members over them

Need: faults between processes could not be had on loopback: fronts died or stood still, but nobody was cut off, and datagrams never got lost. `cloverhollow-lab members` measures members as processes. A test reads deploy/balancer.toml and the binary (one process by `exec`, dynamic libc), another that `node` starts no other process. `cloverhollow serve` prints its members' address too.

--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -60,7 +60,7 @@
 /// Runs a front until SIGINT or SIGTERM. `policy` makes whoever decides from
 /// settings and seed.
 ///
-/// Once it listens it writes one JSON line to standard output: `address`, and `side` where there is one.
+/// Once it listens it writes one JSON line to standard output: `address`, and `side` and `members` where it has them.
 ///
 /// # Errors
 /// It did not start.
@@ -86,7 +86,9 @@
     let mut int = signal(SignalKind::interrupt()).map_err(ServeError::Signal)?;
     let front = Front::start(settings.clone(), policy(&settings, seed), tap).await?;
     let side = front.side.map(|a| a.to_string());
-    println!("{}", serde_json::json!({ "address": front.address.to_string(), "side": side }));
+    let members = front.members.map(|a| a.to_string());
+    let ready = serde_json::json!({ "address": front.address.to_string(), "side": side, "members": members });
+    println!("{ready}");
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -153,19 +153,11 @@
     let target = Target::parse(Bytes::from_static(b"/v1/fleet")).ok_or("no path")?;
     let mut head = RequestHead::get(target);
     head.headers.push("host", side.to_string());
-    conn.send(head, Bytes::new()).await.map_err(|e| e.to_string())?;
-    let head = conn.head().await.map_err(|e| e.to_string())?;
+    let (head, body) = conn.exchange(head, Bytes::new(), MOST).await.map_err(|e| e.to_string())?;
     match head.status {
         200 => {}
         404 => return Err("this front is no member (members.listen is not set)".into()),
         status => return Err(format!("status {status}")),
     }
-    let mut body = Vec::new();
-    while let Some(data) = conn.data().await.map_err(|e| e.to_string())? {
-        body.extend_from_slice(&data);
-        if body.len() > MOST {
-            return Err("a page without end".into());
-        }
-    }
     serde_json::from_slice(&body).map_err(|e| e.to_string())
 }
--- /dev/null
+++ b/crates/cli/tests/deploy.rs
@@ -0,0 +1,45 @@
+//! What the platform asks of `deploy/balancer.toml` and of the program that it starts.
+
+use object::{Object, ObjectSection};
+use std::path::Path;
+
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+fn deploy() -> toml::Table {
+    let text = std::fs::read_to_string(root().join("deploy/balancer.toml")).unwrap();
+    text.parse().unwrap()
+}
+
+/// `run` ends in one process: `exec`, one program that `build` makes, nothing that only a shell could mean.
+#[test]
+fn run_is_one_program_by_exec_that_build_makes() {
+    let deploy = deploy();
+    for (key, package) in [("run", "cloverhollow-cli"), ("sim", "cloverhollow-drill")] {
+        let words: Vec<&str> = deploy[key].as_str().unwrap().split(' ').collect();
+        assert_eq!(words[0], "exec", "{key}");
+        let program = words[1].strip_prefix("target/release/").unwrap_or_else(|| panic!("{key}: {words:?}"));
+        assert!(words.iter().all(|w| w.bytes().all(|b| b.is_ascii_alphanumeric() || b"/-_.".contains(&b))));
+        assert!(deploy["build"].as_str().unwrap().contains(&format!("-p {package}")), "{key}");
+        let manifest = std::fs::read_to_string(root().join("crates").join(&package[13..]).join("Cargo.toml"));
+        assert!(manifest.unwrap().contains(&format!("name = \"{program}\"")), "{key}: {program}");
+    }
+    for key in ["policy", "node"] {
+        for path in deploy[key].as_array().unwrap() {
+            assert!(root().join(path.as_str().unwrap()).exists(), "{key}: {path}");
+        }
+    }
+}
+
+/// Linked dynamically against the C library: by an interpreter, and by name.
+#[test]
+fn the_program_is_linked_dynamically_against_the_c_library() {
+    let bytes = std::fs::read(env!("CARGO_BIN_EXE_cloverhollow")).unwrap();
+    let file = object::File::parse(&*bytes).unwrap();
+    let section = |name: &str| file.section_by_name(name).and_then(|s| s.data().ok()).unwrap_or_default();
+    let interpreter = String::from_utf8_lossy(section(".interp")).into_owned();
+    assert!(interpreter.contains("ld-linux"), "interpreter {interpreter:?}");
+    let needed = section(".dynstr").split(|b| *b == 0).any(|name| name.starts_with(b"libc.so."));
+    assert!(needed, "no C library among what it needs");
+}
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -108,6 +108,10 @@
     let refused = ask(good.as_bytes());
     assert!(refused.starts_with("RTSP/1.0 503 "), "no servers: {refused}");
     assert!(refused.contains("\r\nRetry-After-Ms: 700\r\n"), "{refused}");
+    // The platform starts one process and refuses it others.
+    let pid = node.life.id();
+    let children = std::fs::read_to_string(format!("/proc/{pid}/task/{pid}/children"));
+    assert_eq!(children.unwrap_or_default(), "", "it started no other");
     let huge = setup("00000000000000a1", "clip", "").replace("Length: 0", "Length: 60000000");
     let mut flood = huge.clone().into_bytes();
     flood.resize(4 << 20, b'x');
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -96,6 +96,8 @@
     pub address: SocketAddr,
     /// Where operators ask, if anywhere.
     pub side: Option<SocketAddr>,
+    /// Where the other fronts' datagrams come in, if anywhere.
+    pub members: Option<SocketAddr>,
     stop: CancellationToken,
     tasks: TaskTracker,
     journal: journal::Journal,
@@ -172,6 +174,7 @@
             state.set_level(cloverhollow_knowledge::Level::Warming, cloverhollow_knowledge::Why::Asking);
         }
         tasks.spawn(until(stop.clone(), peers::run(shared.clone(), state.clone(), side_address, outcomes)));
+        let members = fleet.as_ref().and_then(|(_, socket)| socket.local_addr().ok());
         if let Some((fleet, socket)) = fleet {
             // Stops by itself: it leaves with a word.
             tasks.spawn(members::run(fleet, socket, settings.members.sync_ms.get(), stop.clone()));
@@ -189,7 +192,7 @@
             accept(listener, shared, state).await;
         }));
         tracing::info!(%address, name = settings.instance.name.as_str(), "front started");
-        Ok(Front { address, side: side_address, stop, tasks, journal })
+        Ok(Front { address, side: side_address, members, stop, tasks, journal })
     }
 
     /// Stops at once: connections are closed, sessions forgotten, the last list is kept.
--- a/crates/front/src/members.rs
+++ b/crates/front/src/members.rs
@@ -208,15 +208,7 @@
     let target = Target::parse(format!("{PATH}?{NONCE}={nonce}").into())?;
     let mut head = RequestHead::get(target);
     head.headers.push("host", peer.to_string());
-    conn.send(head, Bytes::new()).await.ok()?;
-    let head = conn.head().await.ok()?;
-    let mut body = Vec::new();
-    while let Some(data) = conn.data().await.ok()? {
-        body.extend_from_slice(&data);
-        if body.len() > MOST_BODY {
-            return None;
-        }
-    }
+    let (head, body) = conn.exchange(head, Bytes::new(), MOST_BODY).await.ok()?;
     (head.status == 200).then_some(body)
 }
 
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -12,6 +12,7 @@
 use crate::standin::{Discovery, ServerHandle, World};
 use crate::troubles::{entry, Stage};
 use crate::viewer::Audience;
+use crate::wires::{FaultReport, Wires};
 use cloverhollow_session::WireState;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -86,6 +87,8 @@
     pub start: Duration,
     /// What the exchange of knowledge cost.
     pub cost: PeerCost,
+    /// What befell the wires, as they saw it; times from the day's beginning.
+    pub faults: Vec<FaultReport>,
     /// All that passed.
     #[serde(skip)]
     pub exchanges: Vec<Exchange>,
@@ -133,6 +136,15 @@
     let discovery = Discovery::start(log.clone(), options.host).await.map_err(DayError::StandIn)?;
     discovery.listen_for(world.fronts, options.host).await.map_err(DayError::StandIn)?;
     let servers = start_servers(&world, &discovery).await.map_err(DayError::StandIn)?;
+    let wires = match script.wires || script.members {
+        true if !options.platform => {
+            let n = script.fronts.count();
+            let wires =
+                Wires::start(n, discovery.address, options.host, script.seed.get(), log.clone()).await;
+            Some(Arc::new(wires.map_err(DayError::StandIn)?))
+        }
+        _ => None,
+    };
     let command = FrontCommand {
         exe: options.exe.clone(),
         policy: options.policy,
@@ -144,6 +156,8 @@
         record: options.record,
         mode: options.mode,
         host: options.host,
+        wires: wires.clone(),
+        members: script.members,
         platform: options.platform.then(|| (script.clone(), discovery.clone())),
     };
     let fronts = Arc::new(Fronts::new(command, log.clone()));
@@ -166,6 +180,7 @@
         servers,
         discovery,
         fronts: fronts.clone(),
+        wires: wires.clone(),
         log: log.clone(),
     });
     tasks.spawn(stage.clone().play());
@@ -199,6 +214,7 @@
         deaths: exchanges.iter().filter(|e| matches!(e.seen, Seen::FrontDown { .. })).count(),
         start,
         cost,
+        faults: wires.map(|w| w.faults.reports()).unwrap_or_default(),
         rules,
         exchanges,
     })
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -4,6 +4,7 @@
 use crate::policies::PolicyName;
 use crate::script::Script;
 use crate::standin::{config as config_of, front_host, Discovery};
+use crate::wires::Wires;
 use cloverhollow_front::deeds_file;
 use rand::seq::SliceRandom;
 use rustix::process::{kill_process, Pid, Signal};
@@ -67,9 +68,24 @@
     dir.join(format!("front-{front}.keep"))
 }
 
+/// Witnesses of the count: the first fronts.
+const WITNESSES: usize = 3;
+/// The key of the members' datagrams, in a day's folder.
+const KEY: &str = "members.key";
+
 /// Peers named in a front's settings; it hears of the others from them.
 const SEEDS: usize = 4;
 
+/// A key that only its owner reads: no secret, for nobody else is there.
+fn write_key(path: &Path) -> std::io::Result<()> {
+    use std::os::unix::fs::PermissionsExt;
+    if !path.exists() {
+        std::fs::write(path, "5a".repeat(32))?;
+        std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+    }
+    Ok(())
+}
+
 /// How fronts are started.
 #[derive(Clone)]
 pub struct FrontCommand {
@@ -93,6 +109,10 @@
     pub mode: StartMode,
     /// Where they listen.
     pub host: Ipv4Addr,
+    /// The wires that they speak over, where there are any.
+    pub wires: Option<Arc<Wires>>,
+    /// Whether they are members of each other's fleet.
+    pub members: bool,
     /// Where they are fronts of the platform: the day, and who tells its list.
     pub platform: Option<(Script, Arc<Discovery>)>,
 }
@@ -125,9 +145,9 @@
         self.slots.len()
     }
 
-    /// Where a front listens, or listened last.
+    /// Where viewers find a front, or found it last.
     pub fn address(&self, front: usize) -> SocketAddr {
-        self.slot(front).address
+        self.command.wires.as_ref().map_or_else(|| self.slot(front).address, |w| w.viewers(front))
     }
 
     fn slot(&self, front: usize) -> std::sync::MutexGuard<'_, Slot> {
@@ -149,6 +169,19 @@
         s["listen"]["address"] = any.as_str().into();
         s["side"] = serde_json::json!({ "address": any });
         s["discovery"]["address"] = c.discovery.to_string().into();
+        if let Some(wires) = &c.wires {
+            s["discovery"]["address"] = wires.discovery(front).to_string().into();
+        }
+        if let (Some(wires), true) = (&c.wires, c.members) {
+            let all =
+                |n: usize| (0..n.min(c.fronts)).map(|f| wires.member(f).to_string()).collect::<Vec<_>>();
+            let m = &mut s["members"];
+            m["listen"] = any.as_str().into();
+            m["address"] = wires.member(front).to_string().into();
+            m["seeds"] = all(SEEDS).into();
+            m["witnesses"] = all(WITNESSES).into();
+            m["keys"] = serde_json::json!([{ "id": 1, "file": c.dir.join(KEY) }]);
+        }
         let file = keep_file(&c.dir, front);
         if c.mode == StartMode::Cold {
             let _ = std::fs::remove_file(&file);
@@ -202,6 +235,9 @@
             slot.starts += 1;
             slot.starts
         };
+        if c.members {
+            write_key(&c.dir.join(KEY)).map_err(io)?;
+        }
         let config = c.dir.join(format!("front-{front}.yaml"));
         let (word, text) = match &c.platform {
             None => ("front", self.settings(front, starts)),
@@ -232,6 +268,9 @@
         let ready: serde_json::Value = serde_json::from_str(&line).map_err(|_| not_ready())?;
         let parse = |key: &str| ready[key].as_str().and_then(|a| a.parse::<SocketAddr>().ok());
         let address = parse("address").ok_or_else(not_ready)?;
+        if let Some(wires) = &c.wires {
+            wires.set_front(front, address, parse("members"));
+        }
         let mut slot = self.slot(front);
         (slot.child, slot.address, slot.side) = (Some(child), address, parse("side"));
         self.log.put(Seen::FrontUp { front });
--- a/crates/lab/src/hunt/draw.rs
+++ b/crates/lab/src/hunt/draw.rs
@@ -34,6 +34,9 @@
     /// States that fronts are killed in, one of which is drawn.
     #[serde(default)]
     pub when: Vec<String>,
+    /// Which wires it befalls; none: as a script has it.
+    #[serde(default)]
+    pub to: Vec<String>,
 }
 
 fn any_time() -> Span {
@@ -49,6 +52,9 @@
 struct File {
     /// The script that days are varied from, beside this file.
     base: String,
+    /// What is set otherwise than in it.
+    #[serde(default)]
+    with: Value,
     length_ms: Span,
     fronts: Span,
     servers: Span,
@@ -105,7 +111,9 @@
             return Err(fault("kinds", "none has a weight over 0"));
         }
         let base = path.with_file_name(&file.base);
-        let ranges = Ranges { base: read_file(&base)?, file };
+        let mut script: Value = read_file(&base)?;
+        merge(&mut script, &file.with);
+        let ranges = Ranges { base: script, file };
         // A kind that no script knows, or a size that it does not take, shows in a day of that kind alone.
         for (i, kind) in ranges.file.kinds.iter().enumerate() {
             let mut day = ranges.draw(0);
@@ -153,6 +161,9 @@
             "share": milli(between(rng, k.share)),
             "size": milli(between(rng, k.size)),
         });
+        if !k.to.is_empty() {
+            t["to"] = json!(k.to);
+        }
         if !k.when.is_empty() {
             t["when"] = json!(k.when[rng.random_range(0..k.when.len())]);
         }
@@ -160,6 +171,15 @@
     }
 }
 
+/// Sets in `base` what is in `with`, map by map.
+fn merge(base: &mut Value, with: &Value) {
+    match with {
+        Value::Object(with) => with.iter().for_each(|(k, v)| merge(&mut base[k.as_str()], v)),
+        Value::Null => {}
+        v => *base = v.clone(),
+    }
+}
+
 fn between(rng: &mut ChaCha8Rng, (lo, hi): Span) -> f64 {
     lo + (hi - lo) * rng.random::<f64>()
 }
@@ -184,29 +204,40 @@
 mod tests {
     use super::*;
 
-    fn ranges() -> Ranges {
-        Ranges::load(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../days/hunt.yaml"))).unwrap()
+    fn ranges(file: &str) -> Ranges {
+        Ranges::load(&Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(file)).unwrap()
     }
 
+    const FILES: [&str; 2] = ["hunt.yaml", "hunt-members.yaml"];
+
     #[test]
     fn a_seed_draws_the_same_day_each_time_and_each_day_is_a_script() {
-        let ranges = ranges();
-        for seed in 0..200 {
-            let day = ranges.draw(seed);
-            assert_eq!(day, ranges.draw(seed));
-            let text = yaml(&day);
-            Day::parse("drawn.yaml", &text).unwrap_or_else(|e| panic!("seed {seed}: {e}\n{text}"));
+        for ranges in FILES.map(ranges) {
+            for seed in 0..200 {
+                let day = ranges.draw(seed);
+                assert_eq!(day, ranges.draw(seed));
+                let text = yaml(&day);
+                Day::parse("drawn.yaml", &text).unwrap_or_else(|e| panic!("seed {seed}: {e}\n{text}"));
+            }
+            assert_ne!(ranges.draw(1)["troubles"], ranges.draw(2)["troubles"]);
         }
-        assert_ne!(ranges.draw(1)["troubles"], ranges.draw(2)["troubles"]);
     }
 
     #[test]
     fn every_kind_is_drawn() {
-        let ranges = ranges();
-        let days: Vec<_> = (0..300).map(|seed| ranges.draw(seed)).collect();
-        for kind in &ranges.file.kinds {
-            let has = |d: &&Value| d["troubles"].as_array().unwrap().iter().any(|t| t["kind"] == kind.kind);
-            assert!(days.iter().any(|d| has(&d)), "{} never", kind.kind);
+        for ranges in FILES.map(ranges) {
+            let days: Vec<_> = (0..300).map(|seed| ranges.draw(seed)).collect();
+            for kind in &ranges.file.kinds {
+                let has =
+                    |d: &&Value| d["troubles"].as_array().unwrap().iter().any(|t| t["kind"] == kind.kind);
+                assert!(days.iter().any(|d| has(&d)), "{} never", kind.kind);
+            }
         }
     }
+
+    #[test]
+    fn what_is_set_otherwise_stands_in_each_day() {
+        let day = ranges("hunt-members.yaml").draw(1);
+        assert_eq!((&day["members"], &day["front"]["limits"]["attempts"]), (&json!(true), &json!(3)));
+    }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`exchange`]: what passed over the sockets; [`rules`]: the six rules checked from that alone;
 //!   [`score`]: worth served over worth asked.
 //! - [`hunt`]: days drawn from seeds and played in numbers; what breaks a rule is shrunk.
+//! - [`wires`]: ways between processes that can be cut, delayed and reset; [`members`]: fleets of members over them.
 //! - [`bench`]: measures of a front as a process.
 //! - [`policies`]: baselines, and fronts broken on purpose, by which each checker is shown to fail.
 
@@ -16,6 +17,7 @@
 pub mod fleet;
 pub mod fronts;
 pub mod hunt;
+pub mod members;
 pub mod model;
 pub mod plan;
 pub mod policies;
@@ -27,3 +29,4 @@
 pub mod troubles;
 pub mod viewer;
 mod viewer_rtsp;
+pub mod wires;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 use cloverhollow_lab::fleet;
 use cloverhollow_lab::fronts::StartMode;
 use cloverhollow_lab::hunt::{self, Hunt, Ranges};
+use cloverhollow_lab::members;
 use cloverhollow_lab::policies::PolicyName;
 use cloverhollow_lab::report;
 use cloverhollow_lab::script::Day;
@@ -109,6 +110,24 @@
         #[arg(long)]
         dir: Option<PathBuf>,
     },
+    /// Measures members as processes over wires: how soon a death is seen, who is taken for gone wrongly, and what it
+    /// costs each of them.
+    Members {
+        /// How many processes.
+        #[arg(long, default_value_t = 12)]
+        processes: usize,
+        /// The part of datagrams that is lost.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// Deaths, one after the other.
+        #[arg(long, default_value_t = 3)]
+        deaths: usize,
+        /// Folder for the fronts' files. Default: a new one among temporary files.
+        #[arg(long)]
+        dir: Option<PathBuf>,
+        #[command(flatten)]
+        logs: Logs,
+    },
     /// Measures a front on this machine: hints, added latency, objects and set-ups a second, memory a session.
     Bench {
         /// Seconds of each measurement.
@@ -161,6 +180,8 @@
     Ranges(#[from] hunt::RangesError),
     #[error(transparent)]
     Hunt(#[from] hunt::HuntError),
+    #[error(transparent)]
+    Members(#[from] members::MembersError),
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
@@ -247,6 +268,15 @@
             }
             Ok(if found.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        Command::Members { processes, loss, deaths, dir, logs } => {
+            logs.start();
+            let dir = dir.unwrap_or_else(|| temporary("members"));
+            let exe = std::env::current_exe()?;
+            let loss = loss.clamp(0.0, 1.0);
+            let found = runtime.block_on(members::measure(&exe, dir, processes.max(2), loss, deaths))?;
+            println!("{}", serde_json::to_string(&found).unwrap_or_default());
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Bench { seconds, deeds: true, .. } => {
             let dir = temporary("bench");
             runtime.block_on(deeds(&std::env::current_exe()?, &dir, Duration::from_secs(seconds)))?;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -32,6 +32,20 @@
             h.p50, h.p90, h.p99, h.max, h.count
         );
     }
+    for f in &o.faults {
+        let ms = |t: Option<u64>| t.map_or("-".into(), |t| t.to_string());
+        let _ = writeln!(
+            w,
+            "wires: {}, {} to {} ms; touched {} datagrams and {} parts of streams, {} to {} ms",
+            f.what,
+            f.from_ms,
+            ms(f.until_ms),
+            f.datagrams,
+            f.parts,
+            ms(f.first_ms),
+            ms(f.last_ms)
+        );
+    }
     for r in &o.rules {
         let state = match (&r.first, r.checked) {
             (Some(_), _) => "BROKEN",
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -1,5 +1,6 @@
 //! A day as a file of YAML: the site, the fleet as it truly is, the viewers, and what goes wrong when.
 
+use crate::wires::{Effect, End, Side};
 use cloverhollow_settings::{read_yaml, FrontSettings, Ms, Name, Num, Real, SettingsError};
 use serde::Deserialize;
 use std::path::Path;
@@ -28,6 +29,12 @@
     pub fleet: TrueFleet,
     /// The viewers.
     pub viewers: Viewers,
+    /// Whether the fronts are members of each other's fleet (`members` of their settings); wires then too. Default no.
+    #[serde(default)]
+    pub members: bool,
+    /// Whether the ways between processes lead over wires. Default no.
+    #[serde(default)]
+    pub wires: bool,
     /// What goes wrong.
     #[serde(default)]
     pub troubles: Vec<Trouble>,
@@ -184,6 +191,44 @@
     LateAnswers,
     /// The next `size` patches of the list are left out: a gap.
     ListGap,
+    /// Fronts are cut off from everybody but each other: nothing arrives, either way; bytes of connections are held
+    /// back and set free at the end.
+    WireCut,
+    /// The same, and what is sent to them still arrives.
+    WireCutOut,
+    /// The same, and what they send still arrives.
+    WireCutIn,
+    /// New connections of and to fronts are refused, their datagrams lost.
+    WireRefuse,
+    /// The part `size` of datagrams of and to fronts is lost.
+    WireLoss,
+    /// What passes of and to fronts comes `size` seconds later, datagrams out of order.
+    WireDelay,
+    /// The part `size` of datagrams of and to fronts comes twice.
+    WireDouble,
+    /// Connections of and to fronts are reset as soon as bytes pass.
+    WireReset,
+    /// Connections of and to fronts carry `size` kB a second.
+    WireTrickle,
+}
+
+impl Kind {
+    /// What befalls wires, by its size; `None`: the trouble is another one.
+    pub fn wire(self, size: f64) -> Option<(Effect, Side)> {
+        let delay = || Duration::from_secs_f64(size.clamp(0.0, 3_600.0));
+        Some(match self {
+            Kind::WireCut => (Effect::Silent, Side::Both),
+            Kind::WireCutOut => (Effect::Silent, Side::Out),
+            Kind::WireCutIn => (Effect::Silent, Side::In),
+            Kind::WireRefuse => (Effect::Refused, Side::Both),
+            Kind::WireLoss => (Effect::Loss(size), Side::Both),
+            Kind::WireDelay => (Effect::Delay(delay()), Side::Both),
+            Kind::WireDouble => (Effect::Double(size), Side::Both),
+            Kind::WireReset => (Effect::Reset, Side::Both),
+            Kind::WireTrickle => (Effect::Trickle((size * 1e3) as u64), Side::Both),
+            _ => return None,
+        })
+    }
 }
 
 /// One trouble.
@@ -207,6 +252,9 @@
     pub tenant: Option<Name>,
     /// In which state fronts are killed.
     pub when: Option<When>,
+    /// Which wires of fronts it befalls. Default those to other fronts.
+    #[serde(default = "to_fronts")]
+    pub to: Vec<End>,
 }
 
 /// States of a front, as the servers see them.
@@ -221,6 +269,10 @@
     Further,
 }
 
+fn to_fronts() -> Vec<End> {
+    vec![End::Fronts]
+}
+
 fn none() -> Real<0, 1_000> {
     Real::least()
 }
@@ -331,7 +383,13 @@
             if divides && t.size.get() < 1.0 {
                 return fault(&field, "size is 1 or more here".into());
             }
-            let part = matches!(t.kind, Kind::Neighbour | Kind::FastErrors | Kind::ResetSetups);
+            if t.kind.wire(1.0).is_some() && !self.wires && !self.members {
+                return fault(&field, "troubles of wires want `wires: true`".into());
+            }
+            let part = matches!(
+                t.kind,
+                Kind::Neighbour | Kind::FastErrors | Kind::ResetSetups | Kind::WireLoss | Kind::WireDouble
+            );
             if part && t.size.get() > 1.0 {
                 return fault(&field, "size is a part here, 0 to 1".into());
             }
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -5,6 +5,7 @@
 use crate::plan::stream;
 use crate::script::{Kind, Script, Trouble, When};
 use crate::standin::{Discovery, Mode, ServerHandle, World};
+use crate::wires::{Effect, Fault, Wires};
 use cloverhollow_session::{ServerEntry, WireState};
 use rand::seq::SliceRandom;
 use rand::RngExt;
@@ -27,6 +28,8 @@
     pub discovery: Arc<Discovery>,
     /// The fronts.
     pub fronts: Arc<Fronts>,
+    /// The wires, where the day has them.
+    pub wires: Option<Arc<Wires>>,
     /// The day's clock.
     pub log: Arc<Log>,
 }
@@ -234,6 +237,25 @@
                 self.until(end).await;
                 c.fronts.iter().for_each(|f| self.fronts.thaw(*f));
             }
+            Kind::WireCut
+            | Kind::WireCutOut
+            | Kind::WireCutIn
+            | Kind::WireRefuse
+            | Kind::WireLoss
+            | Kind::WireDelay
+            | Kind::WireDouble
+            | Kind::WireReset
+            | Kind::WireTrickle => {
+                if let (Some(wires), Some((effect, side))) = (&self.wires, t.kind.wire(size)) {
+                    // A cut leaves what passes among those cut off; what is bad of a wire is bad for all of them.
+                    let among = !matches!(effect, Effect::Silent);
+                    let fronts = c.fronts.iter().copied().collect();
+                    let to = t.to.iter().copied().collect();
+                    let id = wires.faults.begin(Fault { effect, fronts, side, among, to });
+                    self.until(end).await;
+                    wires.faults.end(id);
+                }
+            }
             // Drawn with the viewers.
             Kind::TenantBurst => {}
         }
--- /dev/null
+++ b/crates/lab/tests/wires.rs
@@ -0,0 +1,157 @@
+//! Each fault of a wire is seen on the sockets at its ends.
+
+use cloverhollow_lab::exchange::Log;
+use cloverhollow_lab::wires::{Effect, End, Fault, Side, Wires};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{timeout, Instant};
+
+const LONG: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(150);
+
+struct Rig {
+    wires: Wires,
+    /// The members' own sockets.
+    members: Vec<UdpSocket>,
+    /// Where front 0 listens for viewers.
+    listener: TcpListener,
+}
+
+impl Rig {
+    async fn new() -> Rig {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let log = Arc::new(Log::begin());
+        let at = discovery.local_addr().unwrap();
+        let wires = Wires::start(3, at, Ipv4Addr::LOCALHOST, 7, log).await.unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut members = Vec::new();
+        for front in 0..3 {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            wires.set_front(front, listener.local_addr().unwrap(), Some(socket.local_addr().unwrap()));
+            members.push(socket);
+        }
+        Rig { wires, members, listener }
+    }
+
+    fn fault(&self, effect: Effect, side: Side, among: bool) -> u64 {
+        let to = BTreeSet::from([End::Fronts, End::Viewers]);
+        self.wires.faults.begin(Fault { effect, fronts: BTreeSet::from([0]), side, among, to })
+    }
+
+    /// Sends `n` datagrams and takes what arrives until nothing has for a while: their numbers, in order.
+    async fn datagrams(&self, from: usize, to: usize, n: u8) -> Vec<u8> {
+        for i in 0..n {
+            self.members[from].send_to(&[i], self.wires.member(to)).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        let (mut got, mut buf) = (Vec::new(), [0; 8]);
+        while let Ok(Ok(_)) = timeout(SHORT * 3, self.members[to].recv(&mut buf)).await {
+            got.push(buf[0]);
+        }
+        got
+    }
+
+    /// A connection of a viewer to front 0: its two ends.
+    async fn connection(&self) -> (TcpStream, TcpStream) {
+        let near = TcpStream::connect(self.wires.viewers(0)).await.unwrap();
+        let (far, _) = timeout(LONG, self.listener.accept()).await.unwrap().unwrap();
+        (near, far)
+    }
+}
+
+#[tokio::test]
+async fn datagrams_are_lost_one_way_both_ways_or_in_part() {
+    let rig = Rig::new().await;
+    assert_eq!(rig.datagrams(0, 1, 50).await, (0..50).collect::<Vec<_>>(), "a wire without a fault");
+    let out = rig.fault(Effect::Silent, Side::Out, false);
+    assert_eq!((rig.datagrams(0, 1, 5).await.len(), rig.datagrams(1, 0, 5).await.len()), (0, 5));
+    assert_eq!(rig.datagrams(1, 2, 5).await.len(), 5, "others are untouched");
+    rig.wires.faults.end(out);
+    let both = rig.fault(Effect::Silent, Side::Both, false);
+    assert_eq!((rig.datagrams(0, 1, 5).await.len(), rig.datagrams(1, 0, 5).await.len()), (0, 0));
+    rig.wires.faults.end(both);
+    let part = rig.fault(Effect::Loss(0.4), Side::Both, true);
+    let got = rig.datagrams(0, 1, 250).await.len();
+    assert!((110..190).contains(&got), "{got} of 250");
+    rig.wires.faults.end(part);
+    assert_eq!(rig.datagrams(0, 1, 5).await.len(), 5, "it is over");
+    // What truly happened is told as the wires saw it.
+    let reports = rig.wires.faults.reports();
+    assert_eq!((reports[0].datagrams, reports[1].datagrams), (5, 10));
+    assert_eq!(reports[2].datagrams as usize, 250 - got);
+    assert!(reports.iter().all(|r| r.first_ms >= Some(r.from_ms) && r.last_ms <= r.until_ms));
+}
+
+#[tokio::test]
+async fn datagrams_come_late_out_of_order_or_twice() {
+    let rig = Rig::new().await;
+    let late = rig.fault(Effect::Delay(Duration::from_millis(100)), Side::Both, true);
+    let begun = Instant::now();
+    let got = rig.datagrams(0, 1, 40).await;
+    assert!(begun.elapsed() >= Duration::from_millis(100) && got.len() == 40);
+    assert!(got.windows(2).any(|w| w[0] > w[1]), "out of order");
+    rig.wires.faults.end(late);
+    let twice = rig.fault(Effect::Double(1.0), Side::Both, true);
+    let mut got = rig.datagrams(0, 1, 20).await;
+    got.sort();
+    assert_eq!(got, (0..20).flat_map(|i| [i, i]).collect::<Vec<_>>());
+    rig.wires.faults.end(twice);
+}
+
+#[tokio::test]
+async fn bytes_are_held_back_and_set_free() {
+    let rig = Rig::new().await;
+    let (mut near, mut far) = rig.connection().await;
+    near.write_all(b"one").await.unwrap();
+    let mut buf = [0; 3];
+    far.read_exact(&mut buf).await.unwrap();
+    let cut = rig.fault(Effect::Silent, Side::In, false);
+    near.write_all(b"two").await.unwrap();
+    far.write_all(b"not").await.unwrap();
+    near.read_exact(&mut buf).await.unwrap();
+    assert_eq!(&buf, b"not", "the other way is whole");
+    assert!(timeout(SHORT, far.read_exact(&mut buf)).await.is_err(), "held back");
+    rig.wires.faults.end(cut);
+    timeout(LONG, far.read_exact(&mut buf)).await.unwrap().unwrap();
+    assert_eq!(&buf, b"two", "and set free");
+}
+
+#[tokio::test]
+async fn connections_are_refused_and_reset() {
+    let rig = Rig::new().await;
+    let (mut near, mut far) = rig.connection().await;
+    let refuse = rig.fault(Effect::Refused, Side::Both, false);
+    let begun = Instant::now();
+    loop {
+        assert!(begun.elapsed() < LONG, "never refused");
+        match TcpStream::connect(rig.wires.viewers(0)).await {
+            Err(e) => break assert_eq!(e.kind(), std::io::ErrorKind::ConnectionRefused),
+            Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    }
+    near.write_all(b"x").await.unwrap();
+    let mut buf = [0; 1];
+    timeout(LONG, far.read_exact(&mut buf)).await.unwrap().unwrap();
+    rig.wires.faults.end(refuse);
+    let reset = rig.fault(Effect::Reset, Side::Both, false);
+    near.write_all(b"x").await.unwrap();
+    let error = timeout(LONG, near.read(&mut buf)).await.unwrap().unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    rig.wires.faults.end(reset);
+}
+
+#[tokio::test]
+async fn a_trickle_is_slow_and_whole() {
+    let rig = Rig::new().await;
+    let (mut near, mut far) = rig.connection().await;
+    rig.fault(Effect::Trickle(10_000), Side::Both, false);
+    let begun = Instant::now();
+    near.write_all(&[7; 5_000]).await.unwrap();
+    let mut buf = vec![0; 5_000];
+    timeout(LONG, far.read_exact(&mut buf)).await.unwrap().unwrap();
+    assert!(buf.iter().all(|b| *b == 7) && begun.elapsed() >= Duration::from_millis(400));
+}
