--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -284,6 +284,9 @@
         if child.is_none() {
             return;
         }
+        if let Some(wires) = &self.command.wires {
+            wires.front_dies(front);
+        }
         // Taken down first: from here on nothing is owed by it.
         self.log.put(Seen::FrontDown { front });
         if let Some(mut child) = child {
--- a/crates/lab/src/hunt/mod.rs
+++ b/crates/lab/src/hunt/mod.rs
@@ -66,6 +66,15 @@
     pub broke: Vec<(Broke, String)>,
     /// Lives of fronts that ended by a kill.
     pub deaths: usize,
+    /// Worth served over worth asked.
+    #[serde(default)]
+    pub served: f64,
+    /// Windows of cold servers that rule 4 was checked on, from the servers' own log.
+    #[serde(default)]
+    pub cold: u64,
+    /// Servers that fell over.
+    #[serde(default)]
+    pub toppled: usize,
 }
 
 /// All days of a hunt.
@@ -105,11 +114,19 @@
 struct Outcome {
     rules: Vec<Told>,
     deaths: usize,
+    toppled: usize,
+    score: Worth,
+}
+
+#[derive(Deserialize)]
+struct Worth {
+    served: f64,
 }
 
 #[derive(Deserialize)]
 struct Told {
     rule: u8,
+    checked: u64,
     first: Option<String>,
 }
 
@@ -126,7 +143,7 @@
 
 impl Player {
     /// Cancel-safe: dropping it ends the day's process group, the fronts with it.
-    async fn play(&self, day: &Value, dir: &Path) -> Result<(Vec<(Broke, String)>, usize), HuntError> {
+    async fn play(&self, seed: u64, day: &Value, dir: &Path) -> Result<Played, HuntError> {
         let _ = std::fs::remove_dir_all(dir);
         std::fs::create_dir_all(dir).map_err(io(dir))?;
         let script = dir.join("day.yaml");
@@ -140,15 +157,24 @@
         let _group = Group(child.id().and_then(|id| Pid::from_raw(id as i32)));
         let length = Duration::from_millis(day["length_ms"].as_u64().unwrap_or(0));
         let out = tokio::time::timeout(length + OVERDUE, child.wait_with_output()).await;
+        let none = |seed| Played { seed, broke: Vec::new(), deaths: 0, served: 0.0, cold: 0, toppled: 0 };
+        let no_end = |what: String| Played { broke: vec![(Broke::NoEnd, what)], ..none(seed) };
         let mut found = match &out {
             Ok(Ok(out)) => match serde_json::from_slice::<Outcome>(&out.stdout) {
-                Ok(outcome) => (broke(&outcome), outcome.deaths),
-                Err(_) => (vec![(Broke::NoEnd, last_line(&out.stderr))], 0),
+                Ok(o) => Played {
+                    broke: broke(&o),
+                    deaths: o.deaths,
+                    served: o.score.served,
+                    cold: o.rules.iter().filter(|r| r.rule == 4).map(|r| r.checked).sum(),
+                    toppled: o.toppled,
+                    ..none(seed)
+                },
+                Err(_) => no_end(last_line(&out.stderr)),
             },
-            Ok(Err(e)) => (vec![(Broke::NoEnd, e.to_string())], 0),
-            Err(_) => (vec![(Broke::NoEnd, "overdue".into())], 0),
+            Ok(Err(e)) => no_end(e.to_string()),
+            Err(_) => no_end("overdue".into()),
         };
-        found.0.extend(panics(dir));
+        found.broke.extend(panics(dir));
         Ok(found)
     }
 }
@@ -235,14 +261,14 @@
         let day = self.ranges.draw(seed);
         let player = Player { exe: self.exe.clone(), policy: self.policy.clone() };
         let dir = self.dir.join(format!("day-{seed}"));
-        let (broke, deaths) = player.play(&day, &dir).await?;
-        if broke.is_empty() {
+        let played = player.play(seed, &day, &dir).await?;
+        if played.broke.is_empty() {
             let _ = std::fs::remove_dir_all(&dir);
         } else {
             let file = self.dir.join(format!("seed-{seed}.yaml"));
             std::fs::write(&file, draw::yaml(&day)).map_err(io(&file))?;
             if self.shrink {
-                let what: BTreeSet<Broke> = broke.iter().map(|b| b.0.clone()).collect();
+                let what: BTreeSet<Broke> = played.broke.iter().map(|b| b.0.clone()).collect();
                 let small =
                     shrink::shrink(&player, day, &what, &self.dir.join(format!("shrink-{seed}"))).await?;
                 if let Some(small) = small {
@@ -251,7 +277,7 @@
                 }
             }
         }
-        Ok(Played { seed, broke, deaths })
+        Ok(played)
     }
 }
 
--- a/crates/lab/src/hunt/shrink.rs
+++ b/crates/lab/src/hunt/shrink.rs
@@ -28,7 +28,7 @@
                 break;
             }
             self.plays += 1;
-            let (broke, _) = self.player.play(day, self.dir).await?;
+            let broke = self.player.play(0, day, self.dir).await?.broke;
             times += usize::from(broke.iter().any(|b| self.what.contains(&b.0)));
             if times >= TWICE {
                 return Ok(true);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -255,8 +255,11 @@
                 let words = r.broke.iter().map(|(b, words)| format!(" {b:?}: {words}"));
                 let words = words.collect::<Vec<_>>().join(";");
                 eprintln!(
-                    "{done}/{days} seed {}: {}{words}",
+                    "{done}/{days} seed {}: served {:.3}, {} cold windows, {} fallen over, {}{words}",
                     r.seed,
+                    r.served,
+                    r.cold,
+                    r.toppled,
                     if words.is_empty() { "kept" } else { "BROKE" }
                 );
             };
--- a/crates/lab/src/wires/mod.rs
+++ b/crates/lab/src/wires/mod.rs
@@ -90,9 +90,15 @@
         self.viewers[front]
     }
 
+    /// A front is about to die: viewers are refused, as they would be by itself. Guards the check of rule 1 against
+    /// calls that a wire took for a front that was not there.
+    pub fn front_dies(&self, front: usize) {
+        self.fronts[front].set(None);
+    }
+
     /// A front has started and listens there.
     pub fn set_front(&self, front: usize, address: SocketAddr, member: Option<SocketAddr>) {
-        self.fronts[front].set(address);
+        self.fronts[front].set(Some(address));
         if let Some(member) = member {
             self.real.set(front, member);
         }
--- a/crates/lab/src/wires/tcp.rs
+++ b/crates/lab/src/wires/tcp.rs
@@ -28,9 +28,9 @@
         Target(Arc::new(Mutex::new(Some(address))))
     }
 
-    /// There from now on.
-    pub fn set(&self, address: SocketAddr) {
-        *lock(&self.0) = Some(address);
+    /// There from now on; `None`: nowhere, and the wire refuses as a port does where nobody listens.
+    pub fn set(&self, address: Option<SocketAddr>) {
+        *lock(&self.0) = address;
     }
 
     fn get(&self) -> Option<SocketAddr> {
@@ -44,7 +44,7 @@
     let mut listener = Some(listener);
     let mut connections = JoinSet::new();
     loop {
-        if faults.stream(way.0, way.1, false).refused {
+        if target.get().is_none() || faults.stream(way.0, way.1, false).refused {
             listener = None; // nobody listens: the system refuses
         } else if listener.is_none() {
             listener = TcpListener::bind(address).await.ok();
--- a/crates/lab/tests/wires.rs
+++ b/crates/lab/tests/wires.rs
@@ -55,6 +55,17 @@
         got
     }
 
+    async fn until_refused(&self) {
+        let begun = Instant::now();
+        loop {
+            assert!(begun.elapsed() < LONG, "never refused");
+            match TcpStream::connect(self.wires.viewers(0)).await {
+                Err(e) => return assert_eq!(e.kind(), std::io::ErrorKind::ConnectionRefused),
+                Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
     /// A connection of a viewer to front 0: its two ends.
     async fn connection(&self) -> (TcpStream, TcpStream) {
         let near = TcpStream::connect(self.wires.viewers(0)).await.unwrap();
@@ -125,18 +136,14 @@
     let rig = Rig::new().await;
     let (mut near, mut far) = rig.connection().await;
     let refuse = rig.fault(Effect::Refused, Side::Both, false);
-    let begun = Instant::now();
-    loop {
-        assert!(begun.elapsed() < LONG, "never refused");
-        match TcpStream::connect(rig.wires.viewers(0)).await {
-            Err(e) => break assert_eq!(e.kind(), std::io::ErrorKind::ConnectionRefused),
-            Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
-        }
-    }
+    rig.until_refused().await;
+    rig.wires.faults.end(refuse);
+    rig.wires.front_dies(0);
+    rig.until_refused().await;
+    rig.wires.set_front(0, rig.listener.local_addr().unwrap(), None);
     near.write_all(b"x").await.unwrap();
     let mut buf = [0; 1];
     timeout(LONG, far.read_exact(&mut buf)).await.unwrap().unwrap();
-    rig.wires.faults.end(refuse);
     let reset = rig.fault(Effect::Reset, Side::Both, false);
     near.write_all(b"x").await.unwrap();
     let error = timeout(LONG, near.read(&mut buf)).await.unwrap().unwrap_err();
