Reread: a front's side address is asked in one place

Seen in the reread: `lab::members` wrote again what `lab::fleet` had for `/metrics`. Both call `fleet::get` now; nothing else changes.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -39,17 +39,22 @@
     pub cpu_s: f64,
 }
 
-async fn metrics(side: SocketAddr) -> Option<String> {
+/// What a front's side address says at a path, up to so many bytes.
+pub(crate) async fn get(side: SocketAddr, path: &'static str, most: usize) -> Option<Vec<u8>> {
     let exchange = async {
         let mut conn = connect(side).await.ok()?;
-        let mut head = RequestHead::get(Target::parse("/metrics".into())?);
+        let mut head = RequestHead::get(Target::parse(path.into())?);
         head.headers.push("host", "front");
-        let (_, body) = conn.exchange(head, Bytes::new(), 1 << 20).await.ok()?;
-        String::from_utf8(body).ok()
+        let (_, body) = conn.exchange(head, Bytes::new(), most).await.ok()?;
+        Some(body)
     };
     timeout(Duration::from_secs(2), exchange).await.ok().flatten()
 }
 
+async fn metrics(side: SocketAddr) -> Option<String> {
+    String::from_utf8(get(side, "/metrics", 1 << 20).await?).ok()
+}
+
 /// Reads what the exchange cost, from the fronts' own counts.
 pub(crate) async fn peer_cost(fronts: &Fronts) -> PeerCost {
     let mut cost = PeerCost::default();
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -1,13 +1,11 @@
 //! Fleets of members: fronts as processes, whose datagrams lead over wires, and what each says of the others.
 
 use crate::exchange::Log;
+use crate::fleet::get;
 use crate::fronts::{FrontCommand, FrontError, Fronts, StartMode};
 use crate::policies::PolicyName;
 use crate::standin::Discovery;
 use crate::wires::{Effect, End, Fault, Side, Wires};
-use bytes::Bytes;
-use cloverhollow_http::{RequestHead, Target};
-use cloverhollow_net::connect;
 use serde::Serialize;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -15,10 +13,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
-/// Time for a front's page.
-const PAGE: Duration = Duration::from_secs(2);
 /// Longest page.
 const MOST_PAGE: usize = 16 * 1024 * 1024;
 /// Between two looks at what the fronts say.
@@ -167,14 +163,7 @@
 }
 
 async fn page(side: SocketAddr) -> Option<Value> {
-    let exchange = async {
-        let mut conn = connect(side).await.ok()?;
-        let mut head = RequestHead::get(Target::parse("/v1/fleet".into())?);
-        head.headers.push("host", "front");
-        let (_, body) = conn.exchange(head, Bytes::new(), MOST_PAGE).await.ok()?;
-        serde_json::from_slice(&body).ok()
-    };
-    timeout(PAGE, exchange).await.ok().flatten()
+    serde_json::from_slice(&get(side, "/v1/fleet", MOST_PAGE).await?).ok()
 }
 
 /// What was measured.
