Reread: a key is made ready once; what no code called is gone; two comments say what is so

Seen in the reread: `seal::mac` set the key up anew for each datagram, and where the library refused a key it would have fallen back on a known one; it never refuses one, but the way to fail is closed. `Heads::answered` and `View::in_hall` had no callers. Change: keys are made ready at the start, and one that can't be seals and opens nothing. Behaviour stays otherwise. Measured: tests of members, wires, fleets of processes and `cloverhollow fleet` green, clippy clean.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -87,7 +87,7 @@
     pub start: Duration,
     /// What the exchange of knowledge cost.
     pub cost: PeerCost,
-    /// What befell the wires, as they saw it; times from the day's beginning.
+    /// What befell the wires, as they saw it; times on the exchanges' clock.
     pub faults: Vec<FaultReport>,
     /// All that passed.
     #[serde(skip)]
--- a/crates/lab/src/wires/faults.rs
+++ b/crates/lab/src/wires/faults.rs
@@ -70,7 +70,7 @@
 pub struct Fault {
     /// What happens.
     pub effect: Effect,
-    /// Which fronts; what passes among themselves is untouched, unless there is only one side of it.
+    /// Which fronts.
     pub fronts: BTreeSet<usize>,
     /// Which way.
     pub side: Side,
--- a/crates/members/src/heads.rs
+++ b/crates/members/src/heads.rs
@@ -104,11 +104,6 @@
     pub fn part(&self) -> Option<Part> {
         self.part
     }
-
-    /// Witnesses that answered this round.
-    pub fn answered(&self) -> usize {
-        self.answers.len()
-    }
 }
 
 /// How many all of these know of together, at the most: their number if they know the same ones, else the sum.
--- a/crates/members/src/seal.rs
+++ b/crates/members/src/seal.rs
@@ -89,18 +89,21 @@
 /// The keys that are held, and what was heard under them.
 #[derive(Debug)]
 pub struct Keys {
-    keys: BTreeMap<u32, Key>,
+    keys: BTreeMap<u32, HmacSha256>,
     windows: HashMap<u64, Window>,
     taken: u64,
 }
 
 type HmacSha256 = Hmac<Sha256>;
 
-fn mac(key: &Key, head: &[u8], payload: &[u8]) -> HmacSha256 {
-    let mut mac = <HmacSha256 as Mac>::new_from_slice(&key.secret).unwrap_or_else(|_| {
-        // HMAC takes keys of any length; a library that did not would be given none.
-        <HmacSha256 as Mac>::new(&Default::default())
-    });
+/// A key made ready once, not for each datagram; `None`: the library does not take it, and nothing is sealed or opened
+/// by it.
+fn ready(key: &Key) -> Option<HmacSha256> {
+    <HmacSha256 as Mac>::new_from_slice(&key.secret).ok()
+}
+
+fn mac(key: &HmacSha256, head: &[u8], payload: &[u8]) -> HmacSha256 {
+    let mut mac = key.clone();
     mac.update(head);
     mac.update(payload);
     mac
@@ -109,7 +112,7 @@
 impl Keys {
     /// Those that datagrams are taken under.
     pub fn new(keys: &[Key]) -> Keys {
-        let keys = keys.iter().map(|k| (k.id, k.clone())).collect();
+        let keys = keys.iter().filter_map(|k| Some((k.id, ready(k)?))).collect();
         Keys { keys, windows: HashMap::new(), taken: 0 }
     }
 
@@ -164,7 +167,8 @@
 /// Seals what one process sends.
 #[derive(Debug)]
 pub struct Sealer {
-    key: Key,
+    id: u32,
+    key: Option<HmacSha256>,
     source: u64,
     number: u64,
 }
@@ -172,7 +176,7 @@
 impl Sealer {
     /// `source`: drawn at the process's start, so that its numbers may begin anew.
     pub fn new(key: Key, source: u64) -> Sealer {
-        Sealer { key, source, number: 0 }
+        Sealer { id: key.id, key: ready(&key), source, number: 0 }
     }
 
     /// A datagram with that payload.
@@ -180,11 +184,13 @@
         self.number += 1;
         let mut out = Vec::with_capacity(OVERHEAD + payload.len());
         out.push(FORMAT);
-        out.extend_from_slice(&self.key.id.to_be_bytes());
+        out.extend_from_slice(&self.id.to_be_bytes());
         out.extend_from_slice(&self.source.to_be_bytes());
         out.extend_from_slice(&self.number.to_be_bytes());
-        let tag = mac(&self.key, &out, payload).finalize().into_bytes();
-        out.extend_from_slice(&tag[..MAC]);
+        match &self.key {
+            Some(key) => out.extend_from_slice(&mac(key, &out, payload).finalize().into_bytes()[..MAC]),
+            None => out.extend_from_slice(&[0; MAC]), // nobody opens it
+        }
         out.extend_from_slice(payload);
         out
     }
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -52,9 +52,4 @@
     pub fn at_most(&self) -> usize {
         self.members.values().filter(|s| s.sure != Sure::Gone).count()
     }
-
-    /// Members of a hall that may be there.
-    pub fn in_hall<'a>(&'a self, hall: &'a str) -> impl Iterator<Item = &'a Seen> {
-        self.members.values().filter(move |s| s.sure != Sure::Gone && &*s.who.hall == hall)
-    }
 }
