A session whose player waits for an object is not let go as idle

At fault: core.rs, Due::Idle, which looks at when the player last asked and not at whether it waits for the answer. So would a download longer than idle_ms be taken.

A route counts the objects under way to its player; while there is one, the session is not idle. The fetch's own time-outs bound that.

Test in session/tests/core.rs, red without the count.

--- a/crates/front/src/object.rs
+++ b/crates/front/src/object.rs
@@ -25,6 +25,15 @@
 
 /// Fetches a later object and relays it. One answer in any case.
 pub(crate) async fn serve(conn: &mut ViewerConn, ask: &Ask, route: &Route, shared: &Shared) -> Flow {
+    let fetching = route.fetch();
+    let flow = answer(conn, ask, route, shared).await;
+    // Heard of before it may count as idle. If the viewer goes, this is dropped, and its idle time counts from before.
+    route.touch(shared.clock.now());
+    drop(fetching);
+    flow
+}
+
+async fn answer(conn: &mut ViewerConn, ask: &Ask, route: &Route, shared: &Shared) -> Flow {
     let begun = Instant::now();
     route.touch(shared.clock.now());
     shared.stats.objects.fetch_add(1, Relaxed);
--- a/crates/session/src/core.rs
+++ b/crates/session/src/core.rs
@@ -218,7 +218,8 @@
                     return;
                 };
                 let Some(idle) = self.terms.idle else { return };
-                let until = route.seen() + idle;
+                let seen = if route.is_fetching() { self.now } else { route.seen() };
+                let until = seen + idle;
                 if until <= self.now {
                     self.over(request, OverWhy::Idle, Load::default());
                 } else {
@@ -495,6 +496,7 @@
             rates: self.terms.rates[s.class].clone(),
             rung: AtomicU32::new(s.rung as u32),
             seen_ms: AtomicU64::new(self.now.as_millis() as u64),
+            fetching: AtomicU32::new(0),
         });
         self.routes.insert(route.clone());
         s.phase = Phase::Playing { attempt, route: route.clone() };
--- a/crates/session/src/routes.rs
+++ b/crates/session/src/routes.rs
@@ -27,9 +27,33 @@
     pub rates: Arc<[u32]>,
     pub(crate) rung: AtomicU32,
     pub(crate) seen_ms: AtomicU64,
+    /// Objects that its player waits for or takes.
+    pub(crate) fetching: AtomicU32,
+}
+
+/// An object is under way to a route's player, until this is dropped.
+#[derive(Debug)]
+pub struct Fetching<'a>(&'a Route);
+
+impl Drop for Fetching<'_> {
+    fn drop(&mut self) {
+        self.0.fetching.fetch_sub(1, Relaxed);
+    }
 }
 
 impl Route {
+    /// Its player waits for an object from now on: the session is not idle, however long that takes. Guards against
+    /// one that is let go, and whose seat is given away, while its player waits for a silent server or takes a long
+    /// object. The fetch's own time-outs bound it.
+    pub fn fetch(&self) -> Fetching<'_> {
+        self.fetching.fetch_add(1, Relaxed);
+        Fetching(self)
+    }
+
+    pub(crate) fn is_fetching(&self) -> bool {
+        self.fetching.load(Relaxed) > 0
+    }
+
     /// The rung in force.
     pub fn rung(&self) -> usize {
         self.rung.load(Relaxed) as usize
--- a/crates/session/tests/core.rs
+++ b/crates/session/tests/core.rs
@@ -30,6 +30,21 @@
     assert!(core.routes().is_empty() && core.held() == 0);
 }
 
+/// Found by a hunt with wires between fronts and servers cut: a player that waited for an object of a silent server was
+/// taken for idle, and its seat given to another (rule 5).
+#[test]
+fn a_session_whose_player_waits_for_an_object_is_not_idle() {
+    let (mut core, setup) = one_out("clip");
+    core.step(DAY + ms(20), [playing(setup.attempt)]);
+    let route = core.routes().get("s").expect("routed").clone();
+    let fetching = route.fetch();
+    for s in 1..=20 {
+        assert!(core.step(DAY + ms(s * 1_000), []).is_empty(), "an object is under way");
+    }
+    drop(fetching);
+    assert_eq!(words(&core.step(DAY + ms(26_000), [])), ["release s"]);
+}
+
 #[test]
 fn the_players_word_ends_its_session() {
     let (mut core, setup) = one_out("clip");
