Wires to servers, by share or by hall; hard cases of members over processes

- Wires lead front to server too: discovery tells each front the ends of its own.
A wire whose server's process is gone refuses.
`to: [servers]`, `hall: NAME`, new kinds `wire_again`, `wire_bound`.
- Checks: what a wire held back counts from when it came to the wire (rules 2, 3), a seat ends with its viewer's call (rule 5), a viewer that breaks off leaves its end in the log.
First written more loosely (rule 2: any second attempt that closes at once), which its own test showed to be blind.

--- a/crates/lab/src/exchange.rs
+++ b/crates/lab/src/exchange.rs
@@ -59,6 +59,8 @@
     SetupClosed { server: u64, sid: Arc<str>, status: Option<u16> },
     /// A later object was asked for.
     Object { server: u64, front: usize, sid: Arc<str>, kbps: u32 },
+    /// A wire held back or delayed what a front wrote to a server, and carries it now; `entered`: when it came in.
+    WireLate { front: usize, server: u64, entered: Duration },
     /// A server let a session go.
     SessionEnded { server: u64, sid: Arc<str> },
     /// A viewer sends the first request of a session; `call` is never used twice.
--- a/crates/lab/src/hunt/draw.rs
+++ b/crates/lab/src/hunt/draw.rs
@@ -37,6 +37,9 @@
     /// Which wires it befalls; none: as a script has it.
     #[serde(default)]
     pub to: Vec<String>,
+    /// Halls one of which it befalls; none: a share.
+    #[serde(default)]
+    pub halls: Vec<String>,
 }
 
 fn any_time() -> Span {
@@ -164,6 +167,9 @@
         if !k.to.is_empty() {
             t["to"] = json!(k.to);
         }
+        if !k.halls.is_empty() {
+            t["hall"] = json!(k.halls[rng.random_range(0..k.halls.len())]);
+        }
         if !k.when.is_empty() {
             t["when"] = json!(k.when[rng.random_range(0..k.when.len())]);
         }
--- a/crates/lab/src/rules/mod.rs
+++ b/crates/lab/src/rules/mod.rs
@@ -80,6 +80,30 @@
     all.iter().filter(|e| matches!(e.seen, Seen::ServerToppled { .. })).count()
 }
 
+/// The way of a list or a set-up through the sockets.
+const WAY: Duration = Duration::from_millis(100);
+
+/// What wires last carried late, of each front's words to each server.
+#[derive(Default)]
+struct Late {
+    last: BTreeMap<(usize, u64), (Duration, Duration)>,
+}
+
+impl Late {
+    /// Takes an exchange in.
+    fn look(&mut self, e: &Exchange) {
+        if let Seen::WireLate { front, server, entered } = e.seen {
+            self.last.insert((front, server), (e.at, entered));
+        }
+    }
+
+    /// When what reached that server from that front just then had come to its wire, if the wire held it back.
+    fn entered(&self, front: usize, server: u64, arrived: Duration) -> Option<Duration> {
+        let (carried, entered) = self.last.get(&(front, server))?;
+        (*carried + WAY >= arrived).then_some(*entered)
+    }
+}
+
 /// When each front did not run.
 struct Outages {
     spans: BTreeMap<usize, Vec<(Duration, Duration)>>,
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -77,6 +77,29 @@
     assert!(verdicts[1].broken >= 2 + 2, "two that ran again, and both overlaps: {}", of(&verdicts[1]));
 }
 
+#[test]
+fn what_a_wire_held_back_counts_from_when_it_was_sent() {
+    let late =
+        |at, entered| (at, Seen::WireLate { front: 0, server: 1, entered: Duration::from_millis(entered) });
+    let told = (500, Seen::ListTold { front: 0, stopped: vec![1], serving: vec![] });
+    let drain = |sent| vec![(0, UP), told.clone(), late(3_000, sent), setup(3_001, 1, "a")];
+    assert_eq!((broken(3, drain(400)), broken(3, drain(2_000))), (0, 1));
+    // Given up while it was held back: its end comes with it. One that stays open is out beside the other.
+    let two = |end| vec![(0, UP), setup(100, 2, "a"), late(200, 50), setup(201, 1, "a"), closed(end, 1, "a")];
+    let overlaps = |all| broken(2, all) - 1; // the one is that it ran again
+    assert_eq!((overlaps(two(205)), overlaps(two(900))), (0, 1));
+    // Its viewer has gone: two more seats are free. While it waits there is one.
+    let sit = |from: u64| (0..2u64).map(move |i| setup(from + i, 1, &format!("s{from}-{i}")));
+    let hung = |gone: bool| {
+        let mut all = vec![(0, UP), called(100, 1, "h")];
+        all.extend(gone.then(|| ended(200, 1, "h", Got::HungUp)));
+        all.extend([late(699, 150), setup(700, 1, "h")]);
+        all.extend(sit(800));
+        broken(5, all)
+    };
+    assert_eq!((hung(true), hung(false)), (0, 1));
+}
+
 #[test]
 fn rule_3_a_drain_told_to_a_life_binds_the_next() {
     let told = |at| (at, Seen::ListTold { front: 0, stopped: vec![1], serving: vec![] });
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -206,10 +206,14 @@
     WireDelay,
     /// The part `size` of datagrams of and to fronts comes twice.
     WireDouble,
+    /// Each datagram of and to fronts comes `size` times more, later.
+    WireAgain,
     /// Connections of and to fronts are reset as soon as bytes pass.
     WireReset,
-    /// Connections of and to fronts carry `size` kB a second.
+    /// Connections of and to fronts carry `size` kB a second, each.
     WireTrickle,
+    /// All connections of one front with one other process carry `size` kB a second together, each way.
+    WireBound,
 }
 
 impl Kind {
@@ -224,7 +228,9 @@
             Kind::WireLoss => (Effect::Loss(size), Side::Both),
             Kind::WireDelay => (Effect::Delay(delay()), Side::Both),
             Kind::WireDouble => (Effect::Double(size), Side::Both),
+            Kind::WireAgain => (Effect::Again(size as u32), Side::Both),
             Kind::WireReset => (Effect::Reset, Side::Both),
+            Kind::WireBound => (Effect::Bound((size * 1e3) as u64), Side::Both),
             Kind::WireTrickle => (Effect::Trickle((size * 1e3) as u64), Side::Both),
             _ => return None,
         })
@@ -252,6 +258,9 @@
     pub tenant: Option<Name>,
     /// In which state fronts are killed.
     pub when: Option<When>,
+    /// Which hall a trouble of wires befalls, in place of a share of the fronts: its servers and the fronts that stand
+    /// there, in turn. What passes within it goes on where it is cut off.
+    pub hall: Option<Name>,
     /// Which wires of fronts it befalls. Default those to other fronts.
     #[serde(default = "to_fronts")]
     pub to: Vec<End>,
@@ -386,6 +395,14 @@
             if t.kind.wire(1.0).is_some() && !self.wires && !self.members {
                 return fault(&field, "troubles of wires want `wires: true`".into());
             }
+            if let Some(hall) = &t.hall {
+                if t.kind.wire(1.0).is_none() {
+                    return fault(&field, "only troubles of wires befall a `hall`".into());
+                }
+                if !f.halls.contains(hall) {
+                    return fault(&field, format!("`{}` is no hall of fleet.halls", hall.as_str()));
+                }
+            }
             let part = matches!(
                 t.kind,
                 Kind::Neighbour | Kind::FastErrors | Kind::ResetSetups | Kind::WireLoss | Kind::WireDouble
--- a/crates/lab/src/standin/discovery.rs
+++ b/crates/lab/src/standin/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::front_of;
 use crate::exchange::{Log, Seen};
+use crate::wires::Wires;
 use bytes::Bytes;
 use cloverhollow_http::{Framing, Limits, RequestFrame, ResponseFrame, ResponseHead};
 use cloverhollow_net::{read_body, ServerConn, ServerSide};
@@ -9,7 +10,7 @@
 use futures_util::{SinkExt, StreamExt};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, watch};
@@ -63,6 +64,8 @@
     up: watch::Sender<bool>,
     /// A new subscriber's first list comes so late.
     first_after: Mutex<Duration>,
+    /// Ways to servers, where the day leads them over wires.
+    wires: OnceLock<Arc<Wires>>,
     log: Arc<Log>,
 }
 
@@ -79,6 +82,7 @@
             patches: broadcast::channel(MOST_BEHIND).0,
             up: watch::channel(true).0,
             first_after: Mutex::new(Duration::ZERO),
+            wires: OnceLock::new(),
             log,
         });
         tokio::spawn(d.clone().run(listener, None));
@@ -151,6 +155,11 @@
         *self.first_after.lock().unwrap_or_else(PoisonError::into_inner) = late;
     }
 
+    /// From now on each front is told the ends of its own wires to the servers.
+    pub fn set_wires(&self, wires: Arc<Wires>) {
+        let _ = self.wires.set(wires); // there is one set of them a day
+    }
+
     /// Leaves out the next patches.
     pub fn skip(&self, patches: u32) {
         self.state().skip = patches;
@@ -250,7 +259,9 @@
         servers: &[Listed],
     ) -> Option<()> {
         let now = self.log.now();
+        let at = |l: &Listed| self.wires.get().and_then(|w| w.server(front, l.entry.id));
         let aged = |l: &Listed| ServerEntry {
+            address: at(l).unwrap_or(l.entry.address),
             started_ms_ago: l.started.map(|t| now.saturating_sub(t).as_millis() as u64),
             ..l.entry.clone()
         };
--- a/crates/lab/src/standin/server.rs
+++ b/crates/lab/src/standin/server.rs
@@ -3,6 +3,7 @@
 use super::{front_of, permille};
 use crate::exchange::{Log, Seen};
 use crate::model::{Fleet, LoadTold, SetupVerdict};
+use crate::wires::Wires;
 use bytes::Bytes;
 use cloverhollow_hints::cmcd::{read_reports, Record};
 use cloverhollow_hints::cmsd::{self, Hop, Static};
@@ -139,6 +140,22 @@
         *self.address.borrow()
     }
 
+    /// Leads wires to it: where it listens while its process runs, nowhere else. Ends with it.
+    pub fn lead(&self, wires: Arc<Wires>) -> impl std::future::Future<Output = ()> + Send + 'static {
+        let (id, mut mode, mut moved) = (self.id, self.mode.subscribe(), self.address.clone());
+        async move {
+            loop {
+                let runs = *mode.borrow_and_update() != Mode::Down;
+                let there = *moved.borrow_and_update();
+                wires.set_server(id, runs.then_some(there));
+                tokio::select! {
+                    changed = mode.changed() => if changed.is_err() { return },
+                    changed = moved.changed() => if changed.is_err() { return },
+                }
+            }
+        }
+    }
+
     /// Sets how its process is.
     pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -244,14 +244,19 @@
             | Kind::WireLoss
             | Kind::WireDelay
             | Kind::WireDouble
+            | Kind::WireAgain
             | Kind::WireReset
-            | Kind::WireTrickle => {
+            | Kind::WireTrickle
+            | Kind::WireBound => {
                 if let (Some(wires), Some((effect, side))) = (&self.wires, t.kind.wire(size)) {
                     // A cut leaves what passes among those cut off; what is bad of a wire is bad for all of them.
                     let among = !matches!(effect, Effect::Silent);
-                    let fronts = c.fronts.iter().copied().collect();
+                    let (fronts, servers) = match &t.hall {
+                        Some(hall) => self.hall(hall.as_str()),
+                        None => (c.fronts.iter().copied().collect(), BTreeSet::new()),
+                    };
                     let to = t.to.iter().copied().collect();
-                    let id = wires.faults.begin(Fault { effect, fronts, side, among, to });
+                    let id = wires.faults.begin(Fault { effect, fronts, servers, side, among, to });
                     self.until(end).await;
                     wires.faults.end(id);
                 }
@@ -262,6 +267,15 @@
         tracing::info!(kind = ?t.kind, "trouble ends");
     }
 
+    /// Who stands in a hall: its servers, and the fronts, which stand in the halls in turn.
+    fn hall(&self, hall: &str) -> (BTreeSet<usize>, BTreeSet<u64>) {
+        let halls = &self.script.fleet.halls;
+        let own = |front: &usize| halls[front % halls.len()].as_str() == hall;
+        let fleet = self.world.fleet();
+        let servers = fleet.servers.values().filter(|s| s.facts.hall == hall).map(|s| s.facts.id);
+        ((0..self.fronts.count()).filter(own).collect(), servers.collect())
+    }
+
     /// Kills each of the fronts the instant that the servers see it in the state, and starts it again later.
     async fn kill_when(self: Arc<Self>, c: &Cast, end: Duration) {
         let Some(when) = c.trouble.when else { return };
--- a/crates/lab/src/viewer.rs
+++ b/crates/lab/src/viewer.rs
@@ -308,6 +308,8 @@
                     return Try::Again(heard(&head).after);
                 }
                 _ => {
+                    // It broke off, or nothing came: the viewer has no session any more and asks for a new one.
+                    self.log.put(Seen::ViewerOver { sid: sid.clone() });
                     self.tally.broke();
                     return Try::Again(Duration::ZERO);
                 }
--- a/crates/lab/src/wires/mod.rs
+++ b/crates/lab/src/wires/mod.rs
@@ -2,19 +2,21 @@
 //! cut, delay, lose, double, reset and slow down what passes.
 //!
 //! [`faults`] says what happens to a datagram or a part of a stream, without I/O; [`udp`] and [`tcp`] carry it. Led
-//! over them are front to front (datagrams), front to discovery and viewer to front (connections).
+//! over them are front to front (datagrams), front to discovery, viewer to front and front to server (connections).
 
 pub mod faults;
 mod tcp;
 mod udp;
 
 pub use faults::{Effect, End, Fault, FaultReport, Faults, Party, Side};
+use tcp::Port;
 pub use tcp::Target;
 
 use crate::exchange::Log;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 
 /// All wires of a day. Dropping them cuts all of them.
@@ -27,6 +29,8 @@
     /// Where fronts listen for datagrams, and for viewers.
     real: Arc<udp::Real>,
     fronts: Vec<Target>,
+    /// Where each front finds each server, and where that leads.
+    servers: BTreeMap<u64, Vec<(SocketAddr, Target)>>,
     _tasks: Mutex<JoinSet<()>>,
 }
 
@@ -35,12 +39,13 @@
 }
 
 impl Wires {
-    /// Opens them, each on a port of the system's.
+    /// Opens them, each on a port of the system's. Those to servers lead nowhere until [`Wires::set_server`].
     ///
     /// # Errors
     /// There are no more sockets.
     pub async fn start(
         fronts: usize,
+        servers: &[u64],
         discovery: SocketAddr,
         host: Ipv4Addr,
         seed: u64,
@@ -54,15 +59,27 @@
             let socket = UdpSocket::bind((host, 0)).await?;
             members.push(socket.local_addr()?);
             tasks.spawn(udp::run(socket, front, real.clone(), faults.clone()));
-            let listener = TcpListener::bind((host, 0)).await?;
-            to_discovery.push(listener.local_addr()?);
+            let port = Port::new(host)?;
+            to_discovery.push(port.address());
             let way = (Party::Front(front), Party::Discovery);
-            tasks.spawn(tcp::run(listener, way, Target::of(discovery), faults.clone()));
-            let listener = TcpListener::bind((host, 0)).await?;
-            viewers.push(listener.local_addr()?);
+            tasks.spawn(tcp::run(port, way, Target::of(discovery), faults.clone()));
+            let port = Port::new(host)?;
+            viewers.push(port.address());
             let target = Target::default();
             targets.push(target.clone());
-            tasks.spawn(tcp::run(listener, (Party::Viewers, Party::Front(front)), target, faults.clone()));
+            tasks.spawn(tcp::run(port, (Party::Viewers, Party::Front(front)), target, faults.clone()));
+        }
+        let mut to_servers = BTreeMap::new();
+        for server in servers {
+            let mut ways = Vec::with_capacity(fronts);
+            for front in 0..fronts {
+                let (port, target) = (Port::new(host)?, Target::default());
+                let address = port.address();
+                let way = (Party::Front(front), Party::Server(*server));
+                tasks.spawn(tcp::run(port, way, target.clone(), faults.clone()));
+                ways.push((address, target));
+            }
+            to_servers.insert(*server, ways);
         }
         Ok(Wires {
             faults,
@@ -71,6 +88,7 @@
             viewers,
             real,
             fronts: targets,
+            servers: to_servers,
             _tasks: Mutex::new(tasks),
         })
     }
@@ -90,6 +108,19 @@
         self.viewers[front]
     }
 
+    /// Where a front finds a server; `None`: no wire leads there.
+    pub fn server(&self, front: usize, server: u64) -> Option<SocketAddr> {
+        self.servers.get(&server)?.get(front).map(|(address, _)| *address)
+    }
+
+    /// A server listens there from now on; `None`: its process is gone, and fronts are refused as by itself. Guards
+    /// against a wire that takes set-ups for a server that is not there: they would count as perhaps run.
+    pub fn set_server(&self, server: u64, address: Option<SocketAddr>) {
+        for (_, target) in self.servers.get(&server).into_iter().flatten() {
+            target.set(address);
+        }
+    }
+
     /// A front is about to die: viewers are refused, as they would be by itself. Guards the check of rule 1 against
     /// calls that a wire took for a front that was not there.
     pub fn front_dies(&self, front: usize) {
