Reread: wires to all parties are opened in one place; one way a copy of a datagram comes again

Need: three places opened a port, took its address down and started its carrier; two drew when a further copy of a datagram comes. Now one each, behaviour as before.

--- a/crates/lab/src/wires/faults.rs
+++ b/crates/lab/src/wires/faults.rs
@@ -162,6 +162,11 @@
     passed: BTreeMap<(Party, Party), Duration>,
 }
 
+/// When a further copy of a datagram arrives that comes first at that time.
+fn once_more(first: Duration, rng: &mut ChaCha8Rng) -> Duration {
+    first + Duration::from_millis(rng.random_range(1..200))
+}
+
 /// All faults that hold, and what they did.
 pub struct Faults {
     log: Arc<Log>,
@@ -242,14 +247,13 @@
                 Effect::Double(part) => {
                     let twice = !copies.is_empty() && rng.random_bool(part.clamp(0.0, 1.0));
                     if twice {
-                        copies.push(copies[0] + Duration::from_millis(rng.random_range(1..200)));
+                        copies.push(once_more(copies[0], rng));
                     }
                     twice
                 }
                 Effect::Again(times) => {
                     if let Some(first) = copies.first().copied() {
-                        let later = |_| first + Duration::from_millis(rng.random_range(1..200));
-                        copies.extend((0..times).map(later).collect::<Vec<_>>());
+                        copies.extend((0..times).map(|_| once_more(first, rng)));
                     }
                     !copies.is_empty()
                 }
--- a/crates/lab/src/wires/mod.rs
+++ b/crates/lab/src/wires/mod.rs
@@ -59,27 +59,27 @@
             let socket = UdpSocket::bind((host, 0)).await?;
             members.push(socket.local_addr()?);
             tasks.spawn(udp::run(socket, front, real.clone(), faults.clone()));
+        }
+        let mut wire = |way, target| -> std::io::Result<SocketAddr> {
             let port = Port::new(host)?;
-            to_discovery.push(port.address());
-            let way = (Party::Front(front), Party::Discovery);
-            tasks.spawn(tcp::run(port, way, Target::of(discovery), faults.clone()));
-            let port = Port::new(host)?;
-            viewers.push(port.address());
+            let address = port.address();
+            tasks.spawn(tcp::run(port, way, target, faults.clone()));
+            Ok(address)
+        };
+        for front in 0..fronts {
+            to_discovery.push(wire((Party::Front(front), Party::Discovery), Target::of(discovery))?);
             let target = Target::default();
-            targets.push(target.clone());
-            tasks.spawn(tcp::run(port, (Party::Viewers, Party::Front(front)), target, faults.clone()));
+            viewers.push(wire((Party::Viewers, Party::Front(front)), target.clone())?);
+            targets.push(target);
         }
         let mut to_servers = BTreeMap::new();
         for server in servers {
-            let mut ways = Vec::with_capacity(fronts);
-            for front in 0..fronts {
-                let (port, target) = (Port::new(host)?, Target::default());
-                let address = port.address();
-                let way = (Party::Front(front), Party::Server(*server));
-                tasks.spawn(tcp::run(port, way, target.clone(), faults.clone()));
-                ways.push((address, target));
-            }
-            to_servers.insert(*server, ways);
+            let ways = (0..fronts).map(|front| {
+                let target = Target::default();
+                let address = wire((Party::Front(front), Party::Server(*server)), target.clone())?;
+                Ok((address, target))
+            });
+            to_servers.insert(*server, ways.collect::<std::io::Result<Vec<_>>>()?);
         }
         Ok(Wires {
             faults,
