--- /dev/null
+++ b/crates/out/src/asker.rs
@@ -0,0 +1,246 @@
+//! A front's side: one change at a time, by a majority of the witnesses.
+
+use crate::change::Change;
+use crate::job::*;
+use crate::limits::Seen;
+use crate::types::*;
+use crate::words::Word;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What an asker is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct AskerSettings {
+    /// Where answers go.
+    pub me: SocketAddr,
+    /// Drawn at the process's start.
+    pub life: u64,
+    /// All witnesses, the same at all fronts.
+    pub witnesses: Vec<SocketAddr>,
+    /// No lease is longer, at all witnesses alike.
+    pub longest: Duration,
+    /// Of waits.
+    pub seed: u64,
+}
+
+/// A front's side.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Asker {
+    set: AskerSettings,
+    ballot: Ballot,
+    ask: u32,
+    /// The highest term that it heard of: none that it gives is lower.
+    floor: Term,
+    job: Option<Job>,
+    outcome: Option<Outcome>,
+}
+
+type Words = Vec<(SocketAddr, Word)>;
+
+impl Asker {
+    /// One that has asked nothing.
+    pub fn new(set: AskerSettings) -> Asker {
+        let ballot = Ballot { round: 0, asker: set.life };
+        Asker { set, ballot, ask: 0, floor: Term::default(), job: None, outcome: None }
+    }
+
+    /// Asks for a change; `false`: one is under way, or the lease is too long.
+    pub fn ask(&mut self, now: Duration, change: Change) -> bool {
+        let lease = match change {
+            Change::Grant { lease_ms, .. }
+            | Change::Start { lease_ms, .. }
+            | Change::Drive { lease_ms, .. } => lease_ms,
+            _ => 0,
+        };
+        if self.job.is_some() || Duration::from_millis(lease.into()) > self.set.longest {
+            return false;
+        }
+        self.ask = self.ask.wrapping_add(1);
+        let phase = Phase::Waiting(now);
+        let job = Job { change, begun: now, tries: 0, asked: now, again: now, may_be: false, phase };
+        (self.job, self.outcome) = (Some(job), None);
+        true
+    }
+
+    /// A term that somebody has seen: terms rise past it even where a majority of the witnesses has forgotten it.
+    pub fn heard_of(&mut self, term: Term) {
+        self.floor = self.floor.max(term);
+    }
+
+    /// Whether a change is under way.
+    pub fn is_busy(&self) -> bool {
+        self.job.is_some()
+    }
+
+    /// How the last change ended; once.
+    pub fn take_outcome(&mut self) -> Option<Outcome> {
+        self.outcome.take()
+    }
+
+    /// When [`Asker::due`] is next due.
+    pub fn next_due(&self) -> Option<Duration> {
+        let job = self.job.as_ref()?;
+        Some(match job.phase {
+            Phase::Waiting(until) => until,
+            _ => job.again.min(job.asked + ROUND),
+        })
+    }
+
+    /// Does what is due: words to witnesses.
+    pub fn due(&mut self, now: Duration) -> Words {
+        let Some(job) = &mut self.job else { return Words::new() };
+        match &job.phase {
+            Phase::Waiting(until) if now < *until => Words::new(),
+            Phase::Waiting(_) => {
+                job.tries += 1;
+                (job.asked, job.again) = (now, now + AGAIN);
+                job.phase = Phase::Preparing(BTreeMap::new());
+                self.ballot.round = self.ballot.round.saturating_add(1);
+                self.words()
+            }
+            _ if now >= job.asked + ROUND => {
+                self.try_later(now);
+                Words::new()
+            }
+            _ if now >= job.again => {
+                job.again = now + AGAIN;
+                self.words()
+            }
+            _ => Words::new(),
+        }
+    }
+
+    /// What is to be said to each witness that has not answered.
+    fn words(&self) -> Words {
+        let (ballot, reply) = (self.ballot, self.set.me);
+        match self.job.as_ref().map(|j| &j.phase) {
+            Some(Phase::Preparing(heard)) => {
+                let others = self.set.witnesses.iter().filter(|w| !heard.contains_key(w));
+                others.map(|w| (*w, Word::Prepare { ballot, reply })).collect()
+            }
+            Some(Phase::Accepting { value, lives, took }) => {
+                let others = lives.iter().filter(|(w, _)| !took.contains(w));
+                let accept = |life| Word::Accept { ballot, reply, life, value: value.clone() };
+                others.map(|(w, life)| (*w, accept(*life))).collect()
+            }
+            _ => Words::new(),
+        }
+    }
+
+    /// A later try, after a wait that differs by asker.
+    fn try_later(&mut self, now: Duration) {
+        let Some(job) = &mut self.job else { return };
+        if job.tries >= TRIES {
+            let outcome = if job.may_be { Outcome::Unknown } else { Outcome::NotHeard };
+            return self.end(outcome);
+        }
+        job.phase = Phase::Waiting(now + job.wait(self.set.seed ^ mix(self.ballot.round)));
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        (self.job, self.outcome) = (None, Some(outcome));
+    }
+
+    /// A witness's word; `seen`: what the change is judged by, where it comes to that now.
+    pub fn word(&mut self, now: Duration, word: Word, seen: Seen<'_>) -> Words {
+        match word {
+            Word::Promise { ballot, witness, life, taken, lapsed, sight } => {
+                let promised = Promised { life, taken, lapsed, sight };
+                self.promised(now, ballot, witness, promised, seen)
+            }
+            Word::Accepted { ballot, witness, sight } => {
+                self.accepted(ballot, witness, sight);
+                Words::new()
+            }
+            Word::Outbid { ballot, promised, .. } => {
+                if ballot == self.ballot && self.job.as_ref().is_some_and(Job::is_on) {
+                    self.ballot.round = self.ballot.round.max(promised.round);
+                    self.try_later(now);
+                }
+                Words::new()
+            }
+            Word::Prepare { .. } | Word::Accept { .. } => Words::new(),
+        }
+    }
+
+    fn majority(&self) -> usize {
+        self.set.witnesses.len() / 2 + 1
+    }
+
+    fn promised(
+        &mut self,
+        now: Duration,
+        of: Ballot,
+        by: SocketAddr,
+        said: Promised,
+        seen: Seen<'_>,
+    ) -> Words {
+        let (majority, all) = (self.majority(), self.set.witnesses.len());
+        let known = self.set.witnesses.contains(&by);
+        let Some(job) = &mut self.job else { return Words::new() };
+        // Guards against promises of a witness that has forgotten them since.
+        let in_time = now < job.asked + ROUND;
+        let Phase::Preparing(heard) = &mut job.phase else { return Words::new() };
+        if of != self.ballot || !known || !in_time {
+            return Words::new();
+        }
+        heard.insert(by, said);
+        let seeing = heard.values().filter(|p| p.sight == Sight::Sees).count();
+        let waited = heard.values().filter(|p| p.sight != Sight::Blind).count();
+        if seeing < majority && waited < all {
+            return Words::new();
+        }
+        let heard = std::mem::take(heard);
+        let taken = heard.values().filter(|p| p.sight != Sight::Blind).filter_map(|p| p.taken.as_ref());
+        let mut value = taken.max_by_key(|t| t.0).map(|t| t.1.clone()).unwrap_or_default();
+        value.term = value.term.max(self.floor);
+        let lapsed = heard.values().flat_map(Promised::over).collect();
+        value.lapse(&lapsed);
+        if let Err(why) = value.apply((self.set.life, self.ask), &job.change, &lapsed, seen) {
+            // A value of an earlier try may still get through.
+            let outcome = if job.may_be { Outcome::Unknown } else { Outcome::Denied(why) };
+            self.end(outcome);
+            return Words::new();
+        }
+        let lives = heard.iter().map(|(w, p)| (*w, p.life)).collect();
+        job.phase = Phase::Accepting { value, lives, took: BTreeSet::new() };
+        (job.may_be, job.again) = (true, now + AGAIN);
+        self.words()
+    }
+
+    fn accepted(&mut self, of: Ballot, by: SocketAddr, sight: Sight) {
+        let majority = self.majority();
+        let Some(job) = &mut self.job else { return };
+        let Phase::Accepting { value, lives, took } = &mut job.phase else { return };
+        if of != self.ballot || sight != Sight::Sees || !lives.contains_key(&by) {
+            return;
+        }
+        took.insert(by);
+        if took.len() < majority {
+            return;
+        }
+        let value = value.clone();
+        let granted = job.granted(self.set.life, self.ask, &value);
+        self.floor = self.floor.max(value.term);
+        let outcome = Outcome::Done(value, granted);
+        self.end(outcome);
+    }
+
+    /// # Errors
+    /// An invariant that does not hold.
+    pub fn check(&self) -> Result<(), Broken> {
+        let is = |good, what| holds(good, "asker", self.set.life, what);
+        is(self.ballot.asker == self.set.life, "its tries are its own")?;
+        let Some(job) = &self.job else { return Ok(()) };
+        is(job.tries <= TRIES, "no more tries than are given")?;
+        is(job.begun <= job.asked, "a lease runs from before its first question")?;
+        if let Phase::Accepting { value, lives, took } = &job.phase {
+            is(took.len() < self.majority(), "what a majority took is done")?;
+            is(took.iter().all(|w| lives.contains_key(w)), "only who promised takes")?;
+            is(value.longest() <= self.set.longest, "no lease longer than witnesses wait")?;
+            value.check()?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/out/src/driver.rs
@@ -0,0 +1,192 @@
+//! A front that drives a release, or stands by to go on with it.
+//!
+//! All that one needs is the plan, the record at the witnesses, and what the fronts report: what a front already has is not
+//! done again. It acts only while its lease holds, and each act bears the lease's fence.
+
+use crate::change::{Change, Denied};
+use crate::halts::Halts;
+use crate::job::{Granted, Outcome};
+use crate::limits::World;
+use crate::release::Plan;
+use crate::report::{Do, Report, MOST_REPORTS};
+use crate::staged::Act;
+use crate::types::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A change that came to nothing is asked for again after so long.
+const LATER: Duration = Duration::from_secs(1);
+/// A lease is renewed when this part of it is left.
+const LEFT: u32 = 2;
+
+/// A front that drives, or stands by.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Driver {
+    pub(crate) me: u64,
+    pub(crate) plan: Plan,
+    pub(crate) lease_ms: u32,
+    /// Who stands by asks later by that many leases.
+    pub(crate) rank: u32,
+    pub(crate) silent_after: Duration,
+    pub(crate) begins: bool,
+    pub(crate) asked: bool,
+    pub(crate) not_before: Duration,
+    pub(crate) record: Option<ReleaseRecord>,
+    pub(crate) lease: Option<Granted>,
+    /// When the release came to its stage, as far as this one knows.
+    pub(crate) since: Duration,
+    pub(crate) foretold: Option<bool>,
+    pub(crate) halts: Halts,
+    pub(crate) acted: BTreeMap<u64, (Act, Duration)>,
+}
+
+impl Driver {
+    /// One that stands by. `me`: its asker's life; `rank`: others that stand by before it; `silent_after`: a front that was not
+    /// heard of for so long counts as out.
+    pub fn new(
+        now: Duration,
+        me: u64,
+        plan: Plan,
+        lease_ms: u32,
+        rank: u32,
+        silent_after: Duration,
+    ) -> Driver {
+        let halts = Halts::new(plan.error_ppm);
+        let not_before = now + Duration::from_millis(lease_ms.into()) * rank;
+        Driver {
+            me,
+            plan,
+            lease_ms,
+            rank,
+            silent_after,
+            begins: false,
+            asked: false,
+            not_before,
+            record: None,
+            lease: None,
+            since: now,
+            foretold: None,
+            halts,
+            acted: BTreeMap::new(),
+        }
+    }
+
+    /// Begins the release. Where another one is not over it does not begin: ask again then.
+    pub fn begin(&mut self) {
+        self.begins = true;
+    }
+
+    /// Begins the way back, whatever the release has come to.
+    pub fn back(&mut self, now: Duration) {
+        if self.plan.back.is_none() {
+            self.go_back(now);
+            (self.begins, self.not_before) = (true, now);
+        }
+    }
+
+    fn go_back(&mut self, now: Duration) {
+        self.plan = self.plan.way_back();
+        self.halts = Halts::new(self.plan.error_ppm);
+        (self.since, self.acted) = (now, BTreeMap::new());
+    }
+
+    /// What the forecast says of the plan.
+    pub fn foretold(&mut self, allows: bool) {
+        self.foretold = Some(allows);
+    }
+
+    /// The plan that it drives: the way back's, once that was begun.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// The record as it was last heard.
+    pub fn record(&self) -> Option<&ReleaseRecord> {
+        self.record.as_ref()
+    }
+
+    /// Whether it may act.
+    pub fn drives(&self, now: Duration) -> bool {
+        self.lease.is_some_and(|l| l.at(now))
+    }
+
+    /// How the last change ended.
+    pub fn told(&mut self, now: Duration, outcome: Outcome) {
+        self.asked = false;
+        self.not_before = now + LATER;
+        match outcome {
+            Outcome::Done(register, granted) => {
+                let stage = self.record.map(|r| (r.number, r.stage));
+                self.record = register.release;
+                let record = self.record.filter(|r| r.driver == self.me);
+                if let Some(r) = record {
+                    self.lease = granted.filter(|g| g.id == r.id()).or(self.lease);
+                    self.not_before = now;
+                    if r.number > self.plan.number && r.plan == self.plan.way_back().digest() {
+                        self.go_back(now);
+                    }
+                    self.begins &= r.number < self.plan.number;
+                } else {
+                    self.lease = None;
+                }
+                if stage != self.record.map(|r| (r.number, r.stage)) {
+                    (self.since, self.acted) = (now, BTreeMap::new());
+                }
+            }
+            // Another drives, or there is nothing to drive, or this one does not know where it stands.
+            Outcome::Denied(Denied::Fenced | Denied::Release) => {
+                (self.lease, self.begins) = (None, false);
+                self.not_before = now + Duration::from_millis(self.lease_ms.into()) * (1 + self.rank);
+            }
+            Outcome::Denied(Denied::Move) => self.lease = None,
+            Outcome::Denied(_) | Outcome::NotHeard | Outcome::Unknown => {}
+        }
+    }
+
+    /// What to do now, by what the fronts report and the view says.
+    pub fn step(&mut self, now: Duration, reports: &BTreeMap<u64, Report>, world: &World) -> Vec<Do> {
+        let mut out = Vec::new();
+        let reports: BTreeMap<u64, Report> =
+            reports.iter().take(MOST_REPORTS).map(|(n, r)| (*n, *r)).collect();
+        let record = self.record.filter(|r| self.drives(now) && r.plan == self.plan.digest());
+        let over = |r: &ReleaseRecord| matches!(r.stage, Stage::Done | Stage::TakenBack);
+        if let Some(r) = record.filter(|r| !over(r) && !self.begins) {
+            let change = self.go_on(now, r, &reports, world, &mut out);
+            let lease = Duration::from_millis(r.lease_ms.into());
+            let ends = self.lease.is_some_and(|l| now + lease / LEFT >= l.until);
+            if let Some(change) = change.or(ends.then_some(self.drive())) {
+                self.ask(now, change, &mut out);
+            }
+        } else if self.begins {
+            let (number, plan) = (self.plan.number, self.plan.digest());
+            let back = self.plan.back.is_some();
+            self.ask(now, Change::Start { number, plan, back, lease_ms: self.lease_ms }, &mut out);
+        } else if !self.record.as_ref().is_some_and(over) {
+            self.ask(now, self.drive(), &mut out);
+        }
+        out
+    }
+
+    fn drive(&self) -> Change {
+        let plans = [self.plan.digest(), self.plan.way_back().digest()];
+        Change::Drive { plans, lease_ms: self.lease_ms }
+    }
+
+    fn ask(&mut self, now: Duration, change: Change, out: &mut Vec<Do>) {
+        if !self.asked && now >= self.not_before {
+            self.asked = true;
+            out.push(Do::Ask(change));
+        }
+    }
+
+    /// # Errors
+    /// An invariant that does not hold.
+    pub fn check(&self, now: Duration) -> Result<(), Broken> {
+        let is = |good, what| holds(good, "driver", self.me, what);
+        let mine = self.record.is_some_and(|r| r.driver == self.me);
+        is(!self.drives(now) || mine, "who drives is in the record")?;
+        is(self.acted.len() <= MOST_REPORTS, "orders to no more fronts than report")?;
+        let fence = self.record.map_or(Term::default(), |r| r.fence);
+        is(self.acted.values().all(|(a, _)| a.fence == fence), "each order bears the record's fence")
+    }
+}
--- a/crates/out/src/lib.rs
+++ b/crates/out/src/lib.rs
@@ -7,6 +7,30 @@
 //!
 //! Times are [`std::time::Duration`]s on the caller's one forward-going clock, which goes on over a suspend.
 
+mod asker;
+mod change;
+mod clerk;
+mod driver;
+mod going;
+mod halts;
+mod job;
+mod limits;
+mod register;
+mod release;
+mod report;
+mod staged;
 mod types;
+mod words;
 
+pub use asker::{Asker, AskerSettings};
+pub use change::{Applied, Change, Denied};
+pub use clerk::{blind_for, Clerk, Kept};
+pub use driver::Driver;
+pub use halts::{Halts, Paid, Tally, Worth};
+pub use job::{Granted, Outcome, TRIES};
+pub use limits::{may_go, Known, Limits, Most, Seen, Standing, World};
+pub use release::{next, Event, Plan, Wave, What, MOST_WAVES};
+pub use report::{Do, Out, Report, MOST_REPORTS};
+pub use staged::{Act, Generation, Order, Refusal, Staged, MOST_GENERATIONS};
 pub use types::*;
+pub use words::Word;
--- a/crates/out/src/types.rs
+++ b/crates/out/src/types.rs
@@ -1,11 +1,44 @@
-//! Names, the register's value, and the words of one datagram.
+//! Names, and the register's value.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Most permits that the register holds: its value fits into one datagram.
-pub const MOST_PERMITS: usize = 24;
+/// Most permits that the register holds: a word with the largest value fits into one datagram.
+pub const MOST_PERMITS: usize = 20;
+/// A try's words count for so long: an asker uses promises no longer after its question went out, a witness takes a
+/// value no longer after its promise.
+pub const ROUND: Duration = Duration::from_secs(2);
+/// What was done under a lease may be done so long after it at the most.
+const LATE: Duration = Duration::from_secs(2);
+/// Clocks may differ in pace by this part.
+const PACE: u32 = 10;
+
+/// How long a witness keeps what lasts for a lease: past its end by the holder's clock, whose pace may differ by a tenth,
+/// and by what is done late under it.
+pub fn hold(lease: Duration) -> Duration {
+    lease + lease / PACE + LATE
+}
+
+/// An invariant does not hold: a fault of this crate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{machine} of {who:x}: {what}")]
+pub struct Broken {
+    /// Which state machine.
+    pub machine: &'static str,
+    /// Whose: a life, a port, a term.
+    pub who: u64,
+    /// Which invariant.
+    pub what: &'static str,
+}
+
+/// Fails with the invariant's name unless it holds.
+pub(crate) fn holds(good: bool, machine: &'static str, who: u64, what: &'static str) -> Result<(), Broken> {
+    if good {
+        Ok(())
+    } else {
+        Err(Broken { machine, who, what })
+    }
+}
 
 /// Rises with each change of the register; a fence: whoever has seen a higher one refuses what carries a lower.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -49,6 +82,9 @@
     pub place: Place,
     /// Whose process asked for it, and may give it back.
     pub holder: u64,
+    /// Which of that process's asks: with the holder it names this grant or renewal, as a term alone does not: two tries
+    /// of which none got through may bear the same one.
+    pub ask: u32,
     /// The term in which it was granted or last renewed.
     pub term: Term,
     /// How long it lasts from before that was asked, ms.
@@ -61,14 +97,40 @@
         Duration::from_millis(self.lease_ms.into())
     }
 
-    /// How long a witness keeps it from when it took it: past its end by the holder's clock, whose pace may differ by a
-    /// tenth, and by what is done late under it.
+    /// How long a witness keeps it from when it took it.
     pub fn hold(&self) -> Duration {
-        let lease = self.lease();
-        lease + lease / 10 + Duration::from_secs(2)
+        hold(self.lease())
+    }
+
+    /// This very grant or renewal.
+    pub fn id(&self) -> Id {
+        Id { subject: Some(self.subject), holder: self.holder, ask: self.ask }
     }
 }
 
+/// One lease that a witness counts the age of: a permit's, or (without a subject) the release's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// Of a permit: for whom.
+    pub subject: Option<Subject>,
+    /// Whose.
+    pub holder: u64,
+    /// By which of its asks.
+    pub ask: u32,
+}
+
+/// What a witness knows after its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Sight {
+    /// It forgot, and what it forgot may be in force: its word counts for nothing.
+    Blind,
+    /// It forgot, and nothing that it forgot is in force any more. It has not taken the value anew: it counts only where all
+    /// witnesses answer, as at a fleet's first start.
+    Waited,
+    /// It knows all that it ever took.
+    Sees,
+}
+
 /// Where a release stands. The moves between these are [`crate::Release`]'s table alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Stage {
@@ -130,6 +192,20 @@
     pub fence: Term,
     /// How long the driver may act without renewing it, ms.
     pub lease_ms: u32,
+    /// Which of the driver's asks renewed it last.
+    pub ask: u32,
+}
+
+impl ReleaseRecord {
+    /// The lease as it was last renewed.
+    pub fn id(&self) -> Id {
+        Id { subject: None, holder: self.driver, ask: self.ask }
+    }
+
+    /// How long a witness keeps it.
+    pub fn hold(&self) -> Duration {
+        hold(Duration::from_millis(self.lease_ms.into()))
+    }
 }
 
 /// The one value that a majority of the witnesses holds.
@@ -142,55 +218,3 @@
     /// The release, the last one where it is over.
     pub release: Option<ReleaseRecord>,
 }
-
-/// What is said between an asker and a witness, in one datagram.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Word {
-    /// To a witness: promise to take nothing older.
-    Prepare {
-        /// The try.
-        ballot: Ballot,
-        /// Where the answer goes.
-        reply: SocketAddr,
-    },
-    /// A witness promises, and tells what it took last.
-    Promise {
-        /// The try.
-        ballot: Ballot,
-        /// Who, as the settings name it.
-        witness: SocketAddr,
-        /// What it took last, and by which try.
-        taken: Option<(Ballot, Register)>,
-        /// How long it has had each of that value's permits, by term, ms; in their order. The last one: the release's.
-        ages_ms: Vec<u32>,
-        /// It started too lately to know all: its word counts for nothing.
-        blind: bool,
-    },
-    /// To a witness: take this.
-    Accept {
-        /// The try.
-        ballot: Ballot,
-        /// Where the answer goes.
-        reply: SocketAddr,
-        /// The new value.
-        value: Register,
-    },
-    /// A witness took it.
-    Accepted {
-        /// The try.
-        ballot: Ballot,
-        /// Who.
-        witness: SocketAddr,
-        /// As in `Promise`.
-        blind: bool,
-    },
-    /// A witness has promised a later try.
-    Outbid {
-        /// The try that came too late.
-        ballot: Ballot,
-        /// Who.
-        witness: SocketAddr,
-        /// What it promised.
-        promised: Ballot,
-    },
-}
