--- a/crates/out/src/change.rs
+++ b/crates/out/src/change.rs
@@ -58,7 +58,7 @@
         /// The release under which it goes, if any.
         release: Option<u64>,
     },
-    /// The permit's subject is back.
+    /// The permit's subject is back. Its holder does not use it any more, from before it asks this.
     GiveBack {
         /// Who.
         subject: Subject,
--- a/crates/out/src/driver.rs
+++ b/crates/out/src/driver.rs
@@ -130,8 +130,10 @@
                     self.lease = None;
                 }
                 if stage != self.record.map(|r| (r.number, r.stage)) {
-                    (self.since, self.acted) = (now, BTreeMap::new());
+                    self.since = now;
                 }
+                let record = self.record;
+                self.acted.retain(|_, (act, _)| record.is_some_and(|r| r.fence == act.fence));
             }
             // Another drives, or there is nothing to drive, or this one does not know where it stands.
             Outcome::Denied(Denied::Fenced | Denied::Release) => {
--- /dev/null
+++ b/crates/out/tests/net/front.rs
@@ -0,0 +1,174 @@
+//! What one front of the fleet does by itself, and what is looked at from outside.
+
+use super::*;
+
+impl Net {
+    pub(super) fn outcome(&mut self, i: usize) {
+        let now = self.now;
+        let f = &mut self.fronts[i];
+        let Some(outcome) = f.asker.take_outcome() else { return };
+        if std::mem::take(&mut f.driver_asks) {
+            if let Some(driver) = &mut f.driver {
+                driver.told(now, outcome);
+                driver.check(now).unwrap();
+            }
+            return;
+        }
+        f.not_before = now + s(1);
+        if let Outcome::Done(value, granted) = outcome {
+            value.check().unwrap();
+            if let Some(r) = &value.release {
+                f.staged.heard(r);
+            }
+            let mine = Subject::Front(i as u64);
+            match granted.filter(|g| g.id.subject == Some(mine)) {
+                Some(g) => {
+                    self.grants += 1;
+                    f.permit = Some(g);
+                    if f.out.is_none() && g.at(now) && f.staged.go().is_some_and(|word| word != f.build) {
+                        f.out = Some(now + RESTART);
+                        f.restarts += 1;
+                    } else if f.out.is_none() {
+                        f.give_back = true;
+                    }
+                }
+                None => (f.permit, f.give_back) = (None, false),
+            }
+        }
+    }
+
+    /// One step of a front that runs.
+    pub(super) fn front(&mut self, i: usize) {
+        let now = self.now;
+        let f = &mut self.fronts[i];
+        let words = f.asker.due(now);
+        f.asker.check().unwrap();
+        self.say_words(i, words);
+        self.outcome(i);
+        self.goes(i);
+        self.drives(i);
+        if (now.as_millis() / 100 + i as u128) % 10 == 0 {
+            self.reports(i);
+        }
+    }
+
+    fn goes(&mut self, i: usize) {
+        let (now, place) = (self.now, self.fronts[i].place);
+        let f = &mut self.fronts[i];
+        if let Some(until) = f.out {
+            let holds = f.permit.is_some_and(|p| p.at(now));
+            if now >= until || !holds {
+                f.build = f.staged.go().filter(|_| now >= until).unwrap_or(f.build);
+                (f.out, f.give_back) = (None, f.permit.is_some());
+            }
+        }
+        let goes = f.staged.go().is_some_and(|word| word != f.build);
+        f.waits = f.waits.or(Some(now)).filter(|_| goes && f.out.is_none());
+        let free = !f.asker.is_busy() && now >= f.not_before;
+        let subject = Subject::Front(i as u64);
+        if free && f.give_back {
+            // From before it is asked for it is not used any more.
+            f.permit = None;
+            f.asker.ask(now, Change::GiveBack { subject });
+        } else if free && goes && f.out.is_none() {
+            let release = Some(f.release);
+            f.asker.ask(now, Change::Grant { subject, place, lease_ms: LEASE_MS, release });
+        }
+    }
+
+    fn drives(&mut self, i: usize) {
+        let now = self.now;
+        if self.fronts[i].driver.is_none() || now.as_millis() % 500 != 0 {
+            return;
+        }
+        let world = self.world(i);
+        let f = &mut self.fronts[i];
+        let Some(driver) = &mut f.driver else { return };
+        if f.asker.is_busy() {
+            return;
+        }
+        let todo = driver.step(now, &f.reports, &world);
+        driver.check(now).unwrap();
+        for what in todo {
+            match what {
+                Do::Ask(change) => {
+                    self.fronts[i].driver_asks = self.fronts[i].asker.ask(now, change);
+                    assert!(self.fronts[i].driver_asks);
+                }
+                Do::Act(to, act) => self.say(i, to as usize, || Said::Act(act), 0),
+            }
+        }
+    }
+
+    fn reports(&mut self, i: usize) {
+        let (now, bad) = (self.now, self.bad_share);
+        let (share, word) = (self.rng.random_range(0.0..1.0), self.fronts[i].build);
+        let f = &mut self.fronts[i];
+        let served = share < if word == 2 { bad } else { 0.9 };
+        f.paid = f.paid.and(Tally { asked: 1, served: u32::from(served) });
+        let report = Report {
+            place: f.place,
+            heard: now,
+            runs: f.build,
+            staged: f.staged.staged(),
+            bad_text: false,
+            out: if f.out.is_some() { Out::Permit } else { Out::Serves },
+            goes: f.staged.go().is_some_and(|word| word != f.build),
+            waits: f.waits.map(|w| now - w),
+            failed: 0,
+            rule: false,
+            paid: f.paid,
+            fence: f.staged.fence(),
+        };
+        (0..DRIVERS.min(self.fronts.len())).for_each(|to| self.say(i, to, || Said::Report(i, report), 0));
+    }
+
+    /// From outside: who is truly out by a permit that holds.
+    pub(super) fn look(&mut self) {
+        let holds = |f: &&Front| f.permit.is_some_and(|p| p.at(self.now));
+        let out: Vec<u32> = self.fronts.iter().filter(holds).map(|f| f.place.hall).collect();
+        let most = self.plan.limits.fronts;
+        assert!(out.len() <= most.fleet.into(), "{} hold permits at {:?}", out.len(), self.now);
+        for hall in 0..3 {
+            let of = out.iter().filter(|h| **h == hall).count();
+            assert!(of <= most.hall.into(), "{of} of hall {hall} at {:?}", self.now);
+        }
+        self.most_out = self.most_out.max(out.len());
+    }
+
+    /// The release, as the newest value at a witness has it.
+    pub fn record(&self) -> Option<ReleaseRecord> {
+        let taken = self.fronts.iter().filter_map(|f| match (&f.clerk, &f.kept) {
+            (Some(clerk), _) if f.alive => clerk.kept().taken,
+            (_, Some(kept)) => kept.taken.clone(),
+            _ => None,
+        });
+        taken.max_by_key(|t| t.0)?.1.release
+    }
+
+    /// An operator that begins what was forgotten and takes back what has halted; whether the release is over.
+    pub fn settles(&mut self, within: Duration) -> bool {
+        let until = self.now + within;
+        while self.now < until {
+            self.run(s(20));
+            match self.record().map(|r| r.stage) {
+                Some(Stage::Done | Stage::TakenBack) => return true,
+                Some(Stage::Halted(cause)) => {
+                    self.causes.push(cause);
+                    self.operator(|d, now| d.back(now));
+                }
+                None => self.operator(|d, _| d.begin()),
+                Some(Stage::Planned) => self.operator(|d, _| d.foretold(true)),
+                Some(_) => {}
+            }
+        }
+        false
+    }
+
+    /// All drivers are told.
+    pub fn operator(&mut self, tell: impl Fn(&mut Driver, Duration)) {
+        let now = self.now;
+        let live = self.fronts.iter_mut().filter(|f| f.alive);
+        live.filter_map(|f| f.driver.as_mut()).for_each(|d| tell(d, now));
+    }
+}
