Out: a witness that forgot and answers last comes to see again

Need: an asker said its value only to witnesses that had promised before a majority had; one that forgot and always answers last would never have counted again (seen in tests/agreement.rs). Now it gets the value within the round, after the change is done too.

--- a/crates/out/src/asker.rs
+++ b/crates/out/src/asker.rs
@@ -5,7 +5,7 @@
 use crate::limits::Seen;
 use crate::types::*;
 use crate::words::Word;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,22 +27,24 @@
 /// A front's side.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Asker {
-    set: AskerSettings,
-    ballot: Ballot,
-    ask: u32,
+    pub(crate) set: AskerSettings,
+    pub(crate) ballot: Ballot,
+    pub(crate) ask: u32,
     /// The highest term that it heard of: none that it gives is lower.
-    floor: Term,
-    job: Option<Job>,
-    outcome: Option<Outcome>,
+    pub(crate) floor: Term,
+    pub(crate) job: Option<Job>,
+    pub(crate) outcome: Option<Outcome>,
+    /// The try that was done last: its ballot, its first question, its value.
+    pub(crate) last: Option<(Ballot, Duration, Register)>,
 }
 
-type Words = Vec<(SocketAddr, Word)>;
+pub(crate) type Words = Vec<(SocketAddr, Word)>;
 
 impl Asker {
     /// One that has asked nothing.
     pub fn new(set: AskerSettings) -> Asker {
         let ballot = Ballot { round: 0, asker: set.life };
-        Asker { set, ballot, ask: 0, floor: Term::default(), job: None, outcome: None }
+        Asker { set, ballot, ask: 0, floor: Term::default(), job: None, outcome: None, last: None }
     }
 
     /// Asks for a change; `false`: one is under way, or the lease is too long.
@@ -113,7 +115,7 @@
     }
 
     /// What is to be said to each witness that has not answered.
-    fn words(&self) -> Words {
+    pub(crate) fn words(&self) -> Words {
         let (ballot, reply) = (self.ballot, self.set.me);
         match self.job.as_ref().map(|j| &j.phase) {
             Some(Phase::Preparing(heard)) => {
@@ -139,7 +141,7 @@
         job.phase = Phase::Waiting(now + job.wait(self.set.seed ^ mix(self.ballot.round)));
     }
 
-    fn end(&mut self, outcome: Outcome) {
+    pub(crate) fn end(&mut self, outcome: Outcome) {
         (self.job, self.outcome) = (None, Some(outcome));
     }
 
@@ -165,69 +167,6 @@
         }
     }
 
-    fn majority(&self) -> usize {
-        self.set.witnesses.len() / 2 + 1
-    }
-
-    fn promised(
-        &mut self,
-        now: Duration,
-        of: Ballot,
-        by: SocketAddr,
-        said: Promised,
-        seen: Seen<'_>,
-    ) -> Words {
-        let (majority, all) = (self.majority(), self.set.witnesses.len());
-        let known = self.set.witnesses.contains(&by);
-        let Some(job) = &mut self.job else { return Words::new() };
-        // Guards against promises of a witness that has forgotten them since.
-        let in_time = now < job.asked + ROUND;
-        let Phase::Preparing(heard) = &mut job.phase else { return Words::new() };
-        if of != self.ballot || !known || !in_time {
-            return Words::new();
-        }
-        heard.insert(by, said);
-        let seeing = heard.values().filter(|p| p.sight == Sight::Sees).count();
-        let waited = heard.values().filter(|p| p.sight != Sight::Blind).count();
-        if seeing < majority && waited < all {
-            return Words::new();
-        }
-        let heard = std::mem::take(heard);
-        let taken = heard.values().filter(|p| p.sight != Sight::Blind).filter_map(|p| p.taken.as_ref());
-        let mut value = taken.max_by_key(|t| t.0).map(|t| t.1.clone()).unwrap_or_default();
-        value.term = value.term.max(self.floor);
-        let lapsed = heard.values().flat_map(Promised::over).collect();
-        value.lapse(&lapsed);
-        if let Err(why) = value.apply((self.set.life, self.ask), &job.change, &lapsed, seen) {
-            // A value of an earlier try may still get through.
-            let outcome = if job.may_be { Outcome::Unknown } else { Outcome::Denied(why) };
-            self.end(outcome);
-            return Words::new();
-        }
-        let lives = heard.iter().map(|(w, p)| (*w, p.life)).collect();
-        job.phase = Phase::Accepting { value, lives, took: BTreeSet::new() };
-        (job.may_be, job.again) = (true, now + AGAIN);
-        self.words()
-    }
-
-    fn accepted(&mut self, of: Ballot, by: SocketAddr, sight: Sight) {
-        let majority = self.majority();
-        let Some(job) = &mut self.job else { return };
-        let Phase::Accepting { value, lives, took } = &mut job.phase else { return };
-        if of != self.ballot || sight != Sight::Sees || !lives.contains_key(&by) {
-            return;
-        }
-        took.insert(by);
-        if took.len() < majority {
-            return;
-        }
-        let value = value.clone();
-        let granted = job.granted(self.set.life, self.ask, &value);
-        self.floor = self.floor.max(value.term);
-        let outcome = Outcome::Done(value, granted);
-        self.end(outcome);
-    }
-
     /// # Errors
     /// An invariant that does not hold.
     pub fn check(&self) -> Result<(), Broken> {
--- a/crates/out/src/lib.rs
+++ b/crates/out/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Times are [`std::time::Duration`]s on the caller's one forward-going clock, which goes on over a suspend.
 
+mod answers;
 mod asker;
 mod change;
 mod clerk;
