--- a/crates/out/tests/agree/mod.rs
+++ b/crates/out/tests/agree/mod.rs
@@ -8,7 +8,6 @@
 
 const TICK: Duration = Duration::from_secs(2);
 const BEGIN: Duration = Duration::from_secs(1_000);
-const LEASE: Duration = Duration::from_secs(2);
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -55,6 +54,7 @@
     pub lates: u8,
     pub losses: u8,
     pub forgets: u8,
+    pub lease: Duration,
 }
 
 fn limits(limit: u16) -> Limits {
@@ -123,13 +123,13 @@
                 me: address(100 + i as u16),
                 life: 1 + i as u64,
                 witnesses: witnesses.clone(),
-                longest: LEASE,
+                longest: self.lease,
                 seed: i as u64,
             };
             Asker::new(set)
         };
         let kept = Kept { sees: true, ..Kept::default() };
-        let clerk = |w: &SocketAddr| Clerk::new(Duration::ZERO, *w, 7, LEASE, Some(kept.clone()));
+        let clerk = |w: &SocketAddr| Clerk::new(Duration::ZERO, *w, 7, self.lease, Some(kept.clone()));
         vec![State {
             now: BEGIN,
             askers: (0..self.askers).map(asker).collect(),
@@ -187,7 +187,7 @@
                 s.asks[i] += 1;
                 s.before[i] = s.done.keys().next_back().copied().unwrap_or_default();
                 let (subject, place) = (Subject::Front(i as u64), Place::default());
-                let lease_ms = LEASE.as_millis() as u32;
+                let lease_ms = self.lease.as_millis() as u32;
                 s.askers[i].ask(s.now, Change::Grant { subject, place, lease_ms, release: None });
                 let words = s.askers[i].due(s.now);
                 self.say(&mut s, i, words);
@@ -208,7 +208,7 @@
             }
             Happens::Forgets(w) => {
                 s.forgets += 1;
-                s.clerks[w] = Clerk::new(s.now, address(1 + w as u16), 70 + w as u64, LEASE, None);
+                s.clerks[w] = Clerk::new(s.now, address(1 + w as u16), 70 + w as u64, self.lease, None);
             }
         }
         Some(s)
--- a/crates/out/tests/model_register.rs
+++ b/crates/out/tests/model_register.rs
@@ -10,6 +10,7 @@
 
 use agree::{World, OVER, TERMS};
 use stateright::{Checker, Model};
+use std::time::Duration;
 
 fn check(world: World, seen: &[&'static str]) {
     let checker = world.checker().threads(2).spawn_bfs().join();
@@ -21,13 +22,27 @@
     checker.assert_no_discovery(TERMS);
 }
 
-const NONE: World = World { askers: 2, limit: 1, ticks: 3, asks: 1, lates: 0, losses: 0, forgets: 0 };
+const NONE: World = World {
+    askers: 2,
+    limit: 1,
+    ticks: 3,
+    asks: 1,
+    lates: 0,
+    losses: 0,
+    forgets: 0,
+    lease: Duration::from_secs(2),
+};
 
 #[test]
 fn leases_that_run_out_and_are_renewed() {
     check(World { ticks: 4, asks: 2, ..NONE }, &["grants", "lapses", "renews"]);
 }
 
+#[test]
+fn leases_of_some_ticks() {
+    check(World { ticks: 4, lease: Duration::from_secs(5), ..NONE }, &["grants", "lapses"]);
+}
+
 #[test]
 fn words_lost() {
     check(World { ticks: 4, losses: 1, ..NONE }, &["grants", "lapses"]);
