--- a/crates/out/tests/fleet.rs
+++ b/crates/out/tests/fleet.rs
@@ -93,6 +93,13 @@
     assert!(causes.contains(&Cause::Out) && causes.contains(&Cause::Worth));
 }
 
+#[test]
+fn three_hundred_in_rough_weather() {
+    let (net, over) = rough(300, 5, 1_005, 0.3);
+    assert!(over, "{:?}", net.record());
+    println!("{} grants, {} out at most, {:?}", net.grants, net.most_out, net.record().map(|r| r.stage));
+}
+
 #[test]
 fn a_build_that_serves_less_is_taken_back() {
     let mut net = begun(40, 3, 7);
@@ -118,6 +125,10 @@
         net.run(s(60));
         killed.iter().for_each(|i| net.start(*i, false));
         assert!(net.settles(s(2_000)), "{:?}", net.record());
+        assert_eq!(net.record().map(|r| r.stage), Some(Stage::Done));
+        // Whoever lived on went once: the next driver repeats nothing.
+        let lived = net.fronts.iter().enumerate().filter(|(i, _)| !killed.contains(i));
+        assert!(lived.map(|(_, f)| f).all(|f| f.build == 2 && f.restarts == 1));
     }
 }
 
