--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -1,10 +1,75 @@
 //! A live session handed on to another front, no word lost: protocol state without I/O.
 //!
 //! The giver holds the session; the taker is a front of the neighbouring hall. Messages may be lost, doubled and late. As in
-//! `cloverhollow-moves`, from which the [`Epoch`] is: each step carries an epoch that only rises; words are numbered and owed until
-//! they are confirmed. Who may be wrong about whom is in `docs/changes.md`.
+//! `cloverhollow-moves`, from which [`Epoch`] and [`Owed`] are: each step carries an epoch that only rises; words are numbered and
+//! owed until they are confirmed. Who may be wrong about whom is in `docs/changes.md`.
+//!
+//! # Who may act
+//!
+//! To act is to say a word of the session, or to make an attempt for it.
+//!
+//! | giver | taker | who acts | the ledger counts it at |
+//! |---|---|---|---|
+//! | [`Stage::Settled`], `Offering`, `Held` | nothing, or holds | the giver | the giver, and the taker if it holds |
+//! | `Switched` | holds: the word is on its way | nobody | both |
+//! | `Switched` | owns: its word is on its way | the taker | both |
+//! | `Switched` | let go, and says so | nobody, until the giver hears it | the giver |
+//! | `GaveUp` | as in the three above | as in the three above | as in the three above |
+//! | `Closed` | owns | the taker | the taker |
+//!
+//! A giver that sent `Switch` is not the owner any more, whatever it believes, until the taker says `LetGo` of that step (it has
+//! then fenced the step: no copy of the switch is taken), or is **known** to have died. A taker that owns hands nothing
+//! on before its giver has said `Done`, or is known to have died: else a giver that hears of its death too late to
+//! know would go on beside a third front. So one acts at a time, and there is a time at which nobody does. That time
+//! is bounded: [`Input::TimedOut`] leads to `GaveUp`, and the viewer is told by rule 2's terms ([`Output::Failed`] if
+//! its set-up was paid for, else [`Output::ComeAgain`]).
+//!
+//! # Each word once and in order
+//!
+//! - [`Kind::Numbered`] receivers (our own fronts' viewers, servers that confirm by number; [`Ear`] is their side) drop what
+//!   they have seen and take nothing before its turn. The giver switches with words under way; the taker says all that is not
+//!   confirmed again, under the same numbers. Once and in order, whoever dies.
+//! - [`Kind::Plain`] receivers (an old protocol) take all that comes. The giver writes nothing more to them once the taker
+//!   holds the session, and does not switch until each word written is confirmed or its connection is closed: after one
+//!   time-out it asks for that ([`Output::Shut`]). Once and in order while connections last. A word whose connection closed before
+//!   it was confirmed may have been taken: it is said again only if that does no harm ([`Saying::repeats`]), so those are
+//!   taken once or more, in order but for the copy, and the others once or never.
+//!
+//! # What the shell must do
+//!
+//! - [`Input::Died`] only of a front that is known to have ended: a later process under its name has spoken, or the
+//!   platform says so. What the view thinks is [`Input::Suspected`]; it may be wrong and never makes two owners.
+//! - A [`FrontId`] names one process; what is for another does not reach this one.
+//! - Connections carry bytes in order; [`Input::Shut`] only when nothing that was written on it can still be read, or the receiver counts.
+//! - A record of a session that is [`Stage::Closed`] or over, and a taker's fence, are kept for [`KEEP`] at least, and longer
+//!   than any message may be late. A front without a record answers [`ToGiver::Owns`] by [`ToTaker::Done`], and a
+//!   [`ToTaker::Switch`] not at all.
 
+mod choose;
+mod ear;
+mod ends;
+mod events;
+mod giver;
+mod hand;
+mod ledger;
+mod messages;
+mod side;
+mod stream;
+mod taker;
 mod types;
+mod wave;
+mod words;
 
-pub use cloverhollow_moves::Epoch;
+pub use choose::{choose, Need, Neighbour, MOST_TRIED};
+pub use cloverhollow_moves::{Epoch, Owed};
+pub use ear::{Ear, Say, Took};
+pub use events::{Input, Output, Stage};
+pub use giver::{BrokenGiver, Giver, MOST_LATE};
+pub use ledger::{counted, load, Counted};
+pub use messages::*;
+pub use side::{Act, Broken, Event, Side};
+pub use stream::{BrokenStream, Stream};
+pub use taker::{BrokenTaker, Reply, Taker};
 pub use types::*;
+pub use wave::*;
+pub use words::{BrokenRow, NoWord, Row};
--- a/crates/handover/src/types.rs
+++ b/crates/handover/src/types.rs
@@ -9,7 +9,10 @@
 /// Most objects asked for and not yet answered, of one session.
 pub const MOST_ASKED: usize = 16;
 
-/// A front, one life of it.
+/// Most receivers of one session: its viewer, the servers that it plays and played at.
+pub const MOST_WAYS: usize = 8;
+
+/// A front, one life of it: a process that is started anew is another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct FrontId(pub u64);
 
@@ -21,6 +24,42 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Nth(pub u64);
 
+impl Nth {
+    /// The first number that the owner of a step gives out, less one.
+    ///
+    /// Numbers carry their step in the upper half, so those of two owners never meet: a front that goes on after its
+    /// taker died does not know what that one gave out.
+    pub fn before(epoch: Epoch) -> Nth {
+        Nth(u64::from(epoch.0) << 32)
+    }
+
+    /// The one after it, given out in that step.
+    pub fn next_in(self, epoch: Epoch) -> Nth {
+        Nth(self.max(Nth::before(epoch)).0.saturating_add(1))
+    }
+}
+
+/// What a receiver does with a copy of a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// It confirms by number and drops what it has seen ([`crate::Ear`]): a switch need not wait for it.
+    Numbered,
+    /// An old protocol: it takes all that comes. A switch waits until each word that was written is confirmed, or its
+    /// connection is known to be closed.
+    Plain,
+}
+
+/// Up to where a receiver has confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Heard {
+    /// Who.
+    pub by: For,
+    /// Which kind it is.
+    pub kind: Kind,
+    /// All its words up to this one.
+    pub upto: Nth,
+}
+
 /// For whom a word is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum For {
@@ -45,6 +84,19 @@
     LoadAsked,
 }
 
+impl Saying {
+    /// Whether a receiver that hears it twice is none the worse: then it is said again to one that can neither drop a
+    /// copy nor confirm. One that does harm is said at most once.
+    pub fn repeats(self) -> bool {
+        match self {
+            // The last rung holds, a session ends once, a load is told again.
+            Saying::Rung(_) | Saying::PlaysAt(_) | Saying::End | Saying::LoadAsked => true,
+            // It counts from when it is heard: a copy would put the viewer off anew.
+            Saying::ComeBack(_) => false,
+        }
+    }
+}
+
 /// A word that its receiver has not confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Queued {
@@ -72,6 +124,23 @@
         /// Where.
         server: u64,
     },
+    /// A front that may have owned the session died: one may have run, nobody knows where.
+    Unknown,
+}
+
+/// What of a session may change between its offer and its switch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Live {
+    /// What is known of its attempts.
+    pub attempt: Attempt,
+    /// Further attempts spent on it.
+    pub further: u16,
+    /// Where it plays.
+    pub server: Option<u64>,
+    /// Its rung.
+    pub rung: u8,
+    /// Objects asked for and not yet answered, oldest first; [`MOST_ASKED`] at the most.
+    pub asked: Vec<u64>,
 }
 
 /// What a front holds for a live session.
@@ -87,99 +156,14 @@
     pub tenant: Option<u16>,
     /// Whether its set-up was paid for.
     pub paid: bool,
-    /// What is known of its attempts.
-    pub attempt: Attempt,
-    /// Further attempts spent on it.
-    pub further: u16,
-    /// Where it plays.
-    pub server: Option<u64>,
-    /// Its rung: what the ledger prices.
-    pub rung: u8,
-    /// Objects asked for and not yet answered, by their number in the session, oldest first.
-    pub asked: Vec<u64>,
+    /// Its attempts, where it plays, its rung (what the ledger prices), the objects asked for.
+    pub live: Live,
     /// Words not yet taken, in order.
     pub words: Vec<Queued>,
+    /// Up to where each receiver has confirmed; [`MOST_WAYS`] at the most.
+    pub heard: Vec<Heard>,
     /// The last number given out.
     pub last: Nth,
     /// The settings that it began under.
     pub generation: Generation,
 }
-
-/// From giver to taker.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum ToTaker {
-    /// Take this session over: hold it, do nothing with it yet.
-    Offer {
-        /// The step.
-        epoch: Epoch,
-        /// Who offers.
-        giver: FrontId,
-        /// What is held.
-        channel: Channel,
-    },
-    /// A word, or an object asked for, that came since.
-    More {
-        /// The step.
-        epoch: Epoch,
-        /// It.
-        word: Queued,
-    },
-    /// From now on it is yours.
-    Switch {
-        /// The step.
-        epoch: Epoch,
-        /// The last number that was given out here: all up to it must be there, or the switch is not taken.
-        last: Nth,
-        /// Words up to this were confirmed by their receivers here: not to be said again.
-        said: Nth,
-    },
-    /// Let go of it: it stays here, or is over.
-    Withdraw {
-        /// All steps up to this one.
-        epoch: Epoch,
-    },
-}
-
-/// From taker to giver.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum ToGiver {
-    /// It holds the session, and all words up to that one.
-    Held {
-        /// Of which step.
-        epoch: Epoch,
-        /// See above.
-        upto: Nth,
-    },
-    /// It can't: full, going out itself, or no way to the server.
-    Refused {
-        /// Of which step.
-        epoch: Epoch,
-        /// Why.
-        why: WhyNot,
-    },
-    /// It owns the session.
-    Owns {
-        /// Of which step.
-        epoch: Epoch,
-    },
-    /// It holds nothing up to that step.
-    LetGo {
-        /// Which.
-        epoch: Epoch,
-    },
-}
-
-/// Why a front does not take a session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum WhyNot {
-    /// No room for it.
-    Full,
-    /// It goes out itself.
-    GoingOut,
-    /// It does not reach the session's server.
-    NoWay,
-    /// It does not have the settings that the session began under.
-    Generation,
-    /// It has or had a later step of it.
-    Later,
-}
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -15,8 +15,10 @@
 
 mod holder;
 mod mover;
+mod owed;
 mod types;
 
 pub use holder::Holder;
 pub use mover::{Input, Mover, Output, Stage};
+pub use owed::Owed;
 pub use types::{Answer, Ask, Epoch, Incarnation, Place, Server, Word};
--- a/crates/moves/src/mover.rs
+++ b/crates/moves/src/mover.rs
@@ -1,7 +1,7 @@
 //! The front's side of one session.
 
+use crate::owed::Owed;
 use crate::types::{Answer, Ask, Epoch, Place, Server, Word};
-use std::collections::BTreeMap;
 
 /// Where a session stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -109,13 +109,13 @@
     paid: bool,
     /// Releases that were not confirmed: by process, the highest step. Bounded by the processes that were asked
     /// and have not answered; one that is gone is owed nothing.
-    owed: BTreeMap<Place, Epoch>,
+    owed: Owed<Place>,
 }
 
 impl Mover {
     /// A session that was set up at a server as its step `epoch`.
     pub fn new(at: Place, epoch: Epoch, paid: bool) -> Mover {
-        Mover { stage: Stage::Settled { at }, epoch, paid, owed: BTreeMap::new() }
+        Mover { stage: Stage::Settled { at }, epoch, paid, owed: Owed::default() }
     }
 
     /// Where it stands.
@@ -140,7 +140,7 @@
 
     /// The server of that name is not to be moved to again while it is owed a release.
     pub fn owes(&self, server: Server) -> bool {
-        self.owed.keys().any(|p| p.server == server)
+        self.owed.iter().any(|(p, _)| p.server == server)
     }
 
     /// Takes one input.
@@ -158,7 +158,7 @@
             Input::Died { place } => self.died(place, &mut out),
             Input::Gone => self.gone(&mut out),
             Input::SayAgain => {
-                let owed = self.owed.iter().map(|(to, epoch)| (*to, *epoch));
+                let owed = self.owed.iter();
                 out.extend(owed.map(|(to, epoch)| Output::Ask(Word { to, ask: Ask::Release { epoch } })));
             }
         }
@@ -183,17 +183,14 @@
 
     /// From here on that process owes us the word that it holds nothing up to this step.
     fn release(&mut self, to: Place, epoch: Epoch, out: &mut Vec<Output>) {
-        let owed = self.owed.entry(to).or_insert(epoch);
-        *owed = (*owed).max(epoch);
+        self.owed.add(to, epoch);
         out.push(Output::Ask(Word { to, ask: Ask::Release { epoch } }));
     }
 
     fn answered(&mut self, from: Place, answer: Answer, out: &mut Vec<Output>) {
         match (answer, self.stage) {
             (Answer::Released { epoch }, stage) => {
-                if self.owed.get(&from).is_some_and(|owed| *owed <= epoch) {
-                    self.owed.remove(&from);
-                }
+                self.owed.confirmed(from, epoch);
                 // A late copy of our own release reached it before the question: as good as a refusal.
                 if matches!(stage, Stage::Preparing { to, epoch: e, .. } if to == from && e <= epoch) {
                     self.not_taken(from, out);
@@ -288,13 +285,13 @@
     /// A word that a process is gone speaks of that process alone. Guards against a late one, read after the server
     /// was back and had prepared for a newer move: the new holding would be taken for lost with the old.
     fn died(&mut self, place: Place, out: &mut Vec<Output>) {
-        self.owed.remove(&place);
+        self.owed.forget(place);
         match self.stage {
             Stage::Settled { at } if at == place => self.lost(out),
             Stage::Preparing { from, to, epoch } => {
                 if to == place {
                     self.not_taken(to, out);
-                    self.owed.remove(&place);
+                    self.owed.forget(place);
                 } else if from == Some(place) {
                     self.stage = Stage::Preparing { from: None, to, epoch };
                 }
@@ -310,7 +307,7 @@
             Stage::Switching { from, to, epoch } => {
                 if to == place {
                     self.not_playing(out);
-                    self.owed.remove(&place);
+                    self.owed.forget(place);
                 } else if from == Some(place) {
                     self.stage = Stage::Switching { from: None, to, epoch };
                 }
