--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -35,6 +35,26 @@
 //!   it was confirmed may have been taken: it is said again only if that does no harm ([`Saying::repeats`]), so those are
 //!   taken once or more, in order but for the copy, and the others once or never.
 //!
+//! A taker that died between `Switch` and `Owns` may have said words to plain receivers: what does harm twice is not said
+//! again to them. What it had on its connections may still be read after what the giver says next: to plain receivers, over a
+//! death, order is not kept. What a front took down and did not say before it died is lost with it.
+//!
+//! # Deaths
+//!
+//! | who dies | when | what is then known | who acts | what the viewer sees |
+//! |---|---|---|---|---|
+//! | giver | before `Switch` | the taker holds, and does not know whether another does too | nobody: the taker lets go | its connection ends; it comes again, by rule 2's terms |
+//! | giver | `Switch` on its way | the same | the taker, if that comes before word of the death; else nobody | the same |
+//! | giver | the taker owns | all, at the taker | the taker; it is free to hand on | its connection ends; it goes on if it was told where, else rule 2's terms, and the taker's part ends as idle |
+//! | giver | `Closed` | all, at the taker | the taker | nothing, once it was told where |
+//! | taker | before `Switch` | all, at the giver | the giver: the next neighbour | nothing |
+//! | taker | after `Switch`, before `Owns` is heard | what the giver knew; whether it was owned is not known | the giver, once the death is **known**; not yet set up and paid for: nobody | a wait; then it goes on, or [`Output::Failed`] |
+//! | taker | the giver has `Closed` | as of any front's death | nobody | its connection ends; rule 2's terms |
+//! | both | any | nothing | nobody | its connection ends; rule 2's terms |
+//!
+//! One that stands still, or is cut off, is silent and nothing else: offers end by [`OFFER_FOR`], holds by [`HOLD_FOR`], a switch of
+//! which nothing is heard by [`GIVE_UP`]. What it does when it goes on is harmless by its step's number.
+//!
 //! # What the shell must do
 //!
 //! - [`Input::Died`] only of a front that is known to have ended: a later process under its name has spoken, or the
@@ -44,6 +64,10 @@
 //! - A record of a session that is [`Stage::Closed`] or over, and a taker's fence, are kept for [`KEEP`] at least, and longer
 //!   than any message may be late. A front without a record answers [`ToGiver::Owns`] by [`ToTaker::Done`], and a
 //!   [`ToTaker::Switch`] not at all.
+//! - A front that begins to go out lets go of what it holds ([`Input::TimedOut`] of that step), refuses offers as
+//!   [`WhyNot::GoingOut`], and adds what still comes ([`Act::Mine`]) to its [`Stream`].
+//! - Who keeps a receiver that counts remembers its [`Ear`] over connections, and says what it has on each new one
+//!   ([`Input::Confirmed`]).
 
 mod choose;
 mod ear;
--- a/crates/handover/src/taker.rs
+++ b/crates/handover/src/taker.rs
@@ -113,7 +113,9 @@
                     return vec![Reply::Tell(from, answer)];
                 }
                 // Guards against a late switch of another step: its words, its room are not what is held.
-                let Some(h) = self.hold.as_mut().filter(|h| h.epoch == epoch) else { return Vec::new() };
+                let Some(h) = self.hold.as_mut().filter(|h| (h.epoch, h.giver) == (epoch, from)) else {
+                    return Vec::new();
+                };
                 // Guards against two attempts: only its giver hears the answer of one that is out.
                 let out_there = matches!(live.attempt, Attempt::Out { .. });
                 // Guards against a switch that overtook a word: that word would never be said.
