The session core and the members in files by concern, behaviour unchanged

Change: session/core (the machine, viewers, attempts, playing, list_news, actions), session/types (ids, inputs, commands), session/list (the list, feed, saved), members/swim (the view's keeper, settings, effects, look), members/member (the door, what it is told and tells). Functions were moved whole; public paths stay as they were. The core's tests of list and bounds are in tests/list.rs, the view's tests of lives in tests/lives.rs; `settled` is in tests/net.

--- a/crates/members/src/swim.rs
+++ b/crates/members/src/swim/mod.rs
@@ -3,100 +3,33 @@
 //! What is ours: time-outs that wait for a process that stood still, seeds that are asked again, a life that rises
 //! when it is refused, and the word to step back when another process bears the same name.
 
-use crate::seal::{Refused, MOST_DATAGRAM, OVERHEAD};
-use crate::view::{Seen, Sure, View};
-use crate::who::{Life, Who};
-use foca::{
-    Config, Foca, Header, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime, State,
-    Timer,
-};
+mod effects;
+mod look;
+mod settings;
+
+pub use settings::SwimSettings;
+
+use crate::seal::Refused;
+use crate::view::{Sure, View};
+use crate::who::Who;
+use effects::Effects;
+use foca::{Foca, Header, NoCustomBroadcast, PostcardCodec, State, Timer};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
+use settings::config;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
 /// Most members known, those that are gone included; strangers past them are not heard, past twice as many nobody.
 pub const MOST_MEMBERS: usize = 4_096;
-/// What the word's own form adds to the library's bytes.
-const WORD: usize = 8;
-/// A life that was refused within this time of the last one rises by twice as much.
-const REFUSED_AGAIN: Duration = Duration::from_secs(10);
-
-/// How the view is kept.
-#[derive(Clone, Debug)]
-pub struct SwimSettings {
-    /// A member drawn at random is probed so often.
-    pub probe: Duration,
-    /// Others are asked to probe it when it has not answered within this; under half of `probe`.
-    pub answer: Duration,
-    /// Others that are asked.
-    pub indirect: usize,
-    /// A member in doubt may object for so long.
-    pub suspicion: Duration,
-    /// News go to `fanout` members so often.
-    pub gossip: Duration,
-    /// See `gossip`.
-    pub fanout: usize,
-    /// How often one piece of news is passed on.
-    pub passes: u8,
-    /// Members that are gone are called on so often: how a split heals.
-    pub heal: Duration,
-    /// One that is gone is forgotten after this.
-    pub forget: Duration,
-    /// Addresses where members are, of which nothing else is known.
-    pub seeds: Vec<SocketAddr>,
-}
-
-impl Default for SwimSettings {
-    fn default() -> Self {
-        let ms = Duration::from_millis;
-        SwimSettings {
-            probe: ms(500),
-            answer: ms(150),
-            indirect: 4,
-            suspicion: ms(3_000),
-            gossip: ms(200),
-            fanout: 3,
-            passes: 10,
-            heal: ms(2_000),
-            forget: Duration::from_secs(3_600),
-            seeds: Vec::new(),
-        }
-    }
-}
 
 /// What one member holds of another, as it is told over the side address where datagrams might not tell it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Record(foca::Member<Who>);
 
-/// What the library wants done.
-#[derive(Default)]
-struct Effects {
-    sends: Vec<(SocketAddr, Vec<u8>)>,
-    timers: Vec<(Duration, Timer<Who>)>,
-    changed: bool,
-    refused: bool,
-}
-
-impl Runtime<Who> for Effects {
-    fn notify(&mut self, notification: Notification<'_, Who>) {
-        self.changed = true;
-        self.refused |= matches!(notification, Notification::Defunct);
-    }
-
-    fn send_to(&mut self, to: Who, data: &[u8]) {
-        self.sends.push((to.address, data.to_vec()));
-    }
-
-    fn submit_after(&mut self, event: Timer<Who>, after: Duration) {
-        self.timers.push((after, event));
-    }
-}
-
 /// One member's view of the others.
 pub struct Swim {
     set: SwimSettings,
@@ -120,26 +53,6 @@
     }
 }
 
-fn some(n: usize) -> NonZeroUsize {
-    NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN)
-}
-
-fn config(set: &SwimSettings) -> Config {
-    Config {
-        probe_period: set.probe,
-        probe_rtt: set.answer.min(set.probe / 2),
-        num_indirect_probes: some(set.indirect),
-        max_transmissions: NonZeroU8::new(set.passes).unwrap_or(NonZeroU8::MIN),
-        suspect_to_down_after: set.suspicion,
-        remove_down_after: Some(set.forget),
-        max_packet_size: some(MOST_DATAGRAM - OVERHEAD - WORD),
-        notify_down_members: true,
-        periodic_announce: Some(PeriodicParams { frequency: set.heal * 5, num_members: some(1) }),
-        periodic_announce_to_down_members: Some(PeriodicParams { frequency: set.heal, num_members: some(2) }),
-        periodic_gossip: Some(PeriodicParams { frequency: set.gossip, num_members: some(set.fanout) }),
-    }
-}
-
 impl Swim {
     /// A member that knows nobody yet and calls on the seeds at once.
     pub fn new(now: Duration, me: Who, set: SwimSettings, seed: u64) -> Swim {
@@ -259,12 +172,6 @@
         }
     }
 
-    fn namesakes(&self) -> impl Iterator<Item = &Seen> {
-        let me = self.foca.identity();
-        let same = |s: &&Seen| s.sure != Sure::Gone && s.who.name == me.name && s.who.address != me.address;
-        self.view.members.values().filter(same)
-    }
-
     /// Leaves with a word: the others need not find out.
     pub fn leave(&mut self, now: Duration) {
         self.left = true;
@@ -291,62 +198,4 @@
         let _ = self.foca.apply_many(sure, true, &mut self.effects);
         self.settle(now);
     }
-
-    /// Takes over what the library asked for.
-    fn settle(&mut self, now: Duration) {
-        if std::mem::take(&mut self.effects.refused) && !self.left {
-            self.rise(now);
-        }
-        for (after, timer) in std::mem::take(&mut self.effects.timers) {
-            self.timer += 1;
-            self.timers.insert((now + after, self.timer), timer);
-        }
-        if std::mem::take(&mut self.effects.changed) {
-            self.look(now);
-        }
-    }
-
-    /// The others hold this life for gone: it goes on as the next one. Where they know a higher one of this address
-    /// (this process's clock is behind its last one's), each time by twice as much until it is believed.
-    fn rise(&mut self, now: Duration) {
-        let again = self.risen.is_some_and(|t| now < t + REFUSED_AGAIN);
-        self.rise = if again { self.rise.saturating_mul(2) } else { 1 };
-        self.risen = Some(now);
-        let mut next = self.me().clone();
-        next.life = Life { number: next.life.number.saturating_add(self.rise), ..next.life };
-        let _ = self.foca.change_identity(next, &mut self.effects);
-        self.effects.changed = true;
-        self.next_call = now;
-    }
-
-    /// Brings the view up to date.
-    fn look(&mut self, now: Duration) {
-        let me = foca::Member::alive(self.me().clone());
-        let mut members = BTreeMap::new();
-        for m in self.foca.iter_membership_state().chain([&me]) {
-            let heard = self.heard.get(&m.id().address).copied();
-            let (sure, why) = match m.state() {
-                _ if m.id() == me.id() => (Sure::There, "this member"),
-                State::Alive => (Sure::There, "it answers, or others say that it does"),
-                State::Suspect => (Sure::Doubted, "it did not answer, nor to others; it may object"),
-                State::Down => (Sure::Gone, "it did not object in time, left, or has a later life"),
-            };
-            let same = |s: &&Seen| s.sure == sure && s.who == *m.id();
-            let since = self.view.members.get(&m.id().address).filter(same).map_or(now, |s| s.since);
-            members.insert(m.id().address, Seen { who: m.id().clone(), sure, since, heard, why });
-        }
-        let differ = members.len() != self.view.members.len()
-            || members
-                .values()
-                .zip(self.view.members.values())
-                .any(|(a, b)| (a.sure, &a.who) != (b.sure, &b.who));
-        self.heard.retain(|a, _| members.contains_key(a));
-        self.view.members = members;
-        self.view.number += u64::from(differ);
-        // Only one that was heard itself of late is believed to live: an old one's record is not.
-        let lately = |s: &&Seen| s.heard.is_some_and(|t| now < t + self.set.suspicion);
-        let younger =
-            self.namesakes().filter(lately).map(|s| s.who.clone()).find(|w| w.life > self.me().life);
-        self.stepped_back = younger.or(self.stepped_back.take());
-    }
 }
--- a/crates/members/tests/net/mod.rs
+++ b/crates/members/tests/net/mod.rs
@@ -228,3 +228,11 @@
         self.live().filter_map(|(_, m)| m.part()?.at(self.now)).map(|n| 1.0 / n as f64).sum()
     }
 }
+
+/// All of `n` members, who have found each other.
+pub fn settled(n: usize, seed: u64) -> Net {
+    let mut net = Net::new(n, seed);
+    net.start_all();
+    assert!(net.until_agreed(ms(20_000)).is_some(), "{n} members never found each other");
+    net
+}
--- a/crates/members/tests/swim.rs
+++ b/crates/members/tests/swim.rs
@@ -3,18 +3,11 @@
 mod net;
 
 use cloverhollow_members::*;
-use net::{address, key, ms, Net};
+use net::{key, ms, settled, Net};
 use std::time::Duration;
 
 const SUSPICION: Duration = Duration::from_millis(3_000);
 
-fn settled(n: usize, seed: u64) -> Net {
-    let mut net = Net::new(n, seed);
-    net.start_all();
-    assert!(net.until_agreed(ms(20_000)).is_some(), "{n} members never found each other");
-    net
-}
-
 #[test]
 fn half_of_all_killed_together_are_missed_and_found_again() {
     let mut net = settled(24, 1);
@@ -81,74 +74,6 @@
     }
 }
 
-#[test]
-fn a_flapping_member_ends_as_its_last_life() {
-    let mut net = settled(12, 7);
-    for round in 0..8 {
-        net.members[9] = None;
-        net.run(ms(700 + 300 * round));
-        net.start(9);
-        net.run(ms(900));
-    }
-    assert!(net.until_agreed(ms(20_000)).is_some());
-    let lives: Vec<Life> = net.live().map(|(_, m)| m.view().members[&address(9)].who.life).collect();
-    assert!(lives.windows(2).all(|w| w[0] == w[1]), "all know the same life");
-}
-
-#[test]
-fn a_life_whose_clock_is_behind_its_last_one_is_believed_all_the_same() {
-    let mut net = settled(12, 8);
-    net.members[9] = None;
-    net.run(ms(1_000));
-    // A day behind: each refusal raises it by twice as much.
-    net.start_at(9, "front-9", -86_400_000);
-    assert!(net.until_agreed(ms(30_000)).is_some());
-    assert!(net.notices.iter().any(|(i, n)| *i == 9 && matches!(n, Notice::Risen(_))));
-}
-
-#[test]
-fn of_two_processes_of_one_name_the_older_steps_back_and_a_dead_one_moves_nobody() {
-    let mut net = Net::new(13, 9);
-    (0..12).for_each(|i| net.start(i));
-    assert!(net.until_agreed_of(12, ms(20_000)));
-    net.start_at(12, "front-5", 0);
-    net.run(ms(10_000));
-    let back = |net: &Net, i: usize| net.members[i].as_ref().unwrap().stepped_back().cloned();
-    assert_eq!(back(&net, 5).map(|w| w.address), Some(address(12)), "the older one");
-    assert_eq!(back(&net, 12), None);
-    assert!(net.notices.iter().any(|(i, n)| *i == 5 && matches!(n, Notice::StepBack(_))));
-
-    // One that comes back elsewhere with a clock that is behind: its last life is dead, and nobody steps back.
-    let mut net = Net::new(13, 10);
-    (0..12).for_each(|i| net.start(i));
-    assert!(net.until_agreed_of(12, ms(20_000)));
-    net.members[5] = None;
-    net.start_at(12, "front-5", -3_600_000);
-    net.run(ms(20_000));
-    assert_eq!(back(&net, 12), None);
-}
-
-#[test]
-fn a_late_datagram_of_an_earlier_life_changes_nothing() {
-    let mut net = settled(6, 11);
-    // An old life's word, kept back by the network: sealed by the old process, never delivered.
-    let mut old = net.members[3].take().unwrap();
-    net.run(ms(100));
-    old.tick(net.now + ms(600));
-    let late = old.take_out();
-    assert!(!late.is_empty());
-    net.start(3);
-    assert!(net.until_agreed(ms(20_000)).is_some());
-    net.run(ms(5_000));
-    let before: Vec<u64> = net.live().map(|(_, m)| m.view().number).collect();
-    for i in 0..6 {
-        late.iter().for_each(|d| net.throw(i, d.bytes.clone()));
-    }
-    net.run(ms(5_000));
-    let after: Vec<u64> = net.live().map(|(_, m)| m.view().number).collect();
-    assert_eq!((before, net.agreed()), (after, true));
-}
-
 #[test]
 fn of_a_list_of_which_half_has_gone_the_rest_is_found() {
     let mut net = settled(24, 12);
@@ -174,16 +99,6 @@
     assert!(net.until_agreed(ms(20_000)).is_some(), "only the fifth seed is there");
 }
 
-#[test]
-fn who_leaves_with_a_word_is_missed_at_once() {
-    let mut net = settled(24, 14);
-    let now = net.now;
-    net.members[20].as_mut().unwrap().leave(now);
-    net.run(ms(1_500));
-    let gone = (0..20).filter(|i| net.sees(*i, 20) == Some(Sure::Gone)).count();
-    assert_eq!(gone, 20, "sooner than any suspicion");
-}
-
 #[test]
 fn garbage_strangers_and_replays_by_the_thousand_change_nothing() {
     let mut net = settled(6, 15);
