The session core looks at itself: Core::check names the invariant that is broken, and by whom

Need: rules are checked from what passes a shell; what the core keeps in between (names, routes, attempts out, timers, who is owed an answer, bounds) was looked at by nobody.

One counter is new, for requests that are owed an answer. enforce() is what shells call with feature `invariants`; without it, it looks at nothing.

--- a/crates/session/src/core/mod.rs
+++ b/crates/session/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod attempts;
+mod check;
 mod list_news;
 mod playing;
 mod viewers;
@@ -50,6 +51,8 @@
     timers: Timers,
     events: Vec<Event>,
     commands: Vec<Command<A, B>>,
+    /// Requests that came and have neither been answered nor hung up.
+    owed: usize,
 }
 
 impl<P: Policy, A: Clone, B> Core<P, A, B> {
@@ -73,6 +76,7 @@
             timers: Timers::default(),
             events: Vec::new(),
             commands: Vec::new(),
+            owed: 0,
             terms,
         }
     }
--- a/crates/session/src/core/viewers.rs
+++ b/crates/session/src/core/viewers.rs
@@ -11,6 +11,7 @@
 
 impl<P: Policy, A: Clone, B> Core<P, A, B> {
     pub(super) fn arrived(&mut self, a: Arrival<A>) {
+        self.owed += 1;
         self.stats.hints(&a.faults, a.contradictions);
         if let Some(request) = self.by_sid.get(&a.sid).copied() {
             return self.joined(request, a);
@@ -105,6 +106,7 @@
         if !self.stop_waiting(viewer, sid) {
             return; // it has been answered, or another session has its name by now
         }
+        self.owed = self.owed.saturating_sub(1);
         count(&self.stats.hung_up);
         let Some(request) = self.by_sid.get(sid).copied() else { return };
         let Some(s) = self.sessions.get(&request).filter(|s| s.waiting.is_empty()) else { return };
@@ -127,6 +129,7 @@
             Answer::Failed { reason, .. } => count(&self.stats.failed[*reason as usize]),
             _ => {}
         }
+        self.owed = self.owed.saturating_sub(1);
         self.commands.push(Command::Answer { viewer, answer });
     }
 }
--- a/crates/session/src/learn.rs
+++ b/crates/session/src/learn.rs
@@ -1,5 +1,6 @@
 //! What the front observes, kept for its peers; and peers' words, as the decision module takes them.
 
+use crate::broken::{hold, Broken};
 use crate::list::{ListNews, WireState};
 use crate::terms::MemoryTerms;
 use crate::types::{Load, PeerSaid};
@@ -60,6 +61,12 @@
         }
     }
 
+    /// What is shown is the last.
+    pub(crate) fn check(&self) -> Result<(), Broken> {
+        let (shown, last) = (self.published, self.book.view().seq());
+        hold(shown == last, || Broken::Shelf { shown, last })
+    }
+
     pub(crate) fn behaved(&mut self, now: Duration, server: u64, worked: bool, lost: bool) {
         if self.on {
             self.book.behaved(now, server, worked, lost);
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -11,6 +11,7 @@
 //! outcome; [`Command::Answer`] goes to whoever waits.
 
 pub mod arrival;
+mod broken;
 mod core;
 mod gauge;
 mod held;
@@ -25,6 +26,7 @@
 mod types;
 
 pub use crate::core::{Core, Tap};
+pub use broken::{enforce, Broken, BROKEN_EXIT};
 pub use gauge::Gauge;
 pub use learn::Shelf;
 pub use list::{
--- a/crates/session/src/list/mod.rs
+++ b/crates/session/src/list/mod.rs
@@ -6,6 +6,7 @@
 pub use feed::{Feed, FeedError, ListMessage, ListNews, MessageKind};
 pub use saved::SavedList;
 
+use crate::broken::{hold, Broken};
 use crate::terms::Terms;
 use cloverhollow::{Entry, ListMode, Listed, ServerId};
 use serde::{Deserialize, Serialize};
@@ -171,6 +172,17 @@
         self.servers.values().filter(|k| k.entry.state == WireState::Serving).count()
     }
 
+    /// Whether a server takes new work.
+    pub(crate) fn serves(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|k| k.entry.state == WireState::Serving)
+    }
+
+    /// Servers that are there are bounded; those that are gone stay while a session is there.
+    pub(crate) fn check(&self, sessions: usize) -> Result<(), Broken> {
+        let (held, most) = (self.servers.len(), MOST_SERVERS + sessions);
+        hold(held <= most, || Broken::List { held, most })
+    }
+
     /// Version of the last list.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/session/src/lives.rs
+++ b/crates/session/src/lives.rs
@@ -1,11 +1,12 @@
 //! What this front's lives know of each other: paid sessions that may have run, drains on the paper, what servers
 //! still hold for the last one.
 
+use crate::broken::{hold, Broken};
 use crate::list::{ListNews, WireState};
 use crate::terms::MemoryTerms;
 use crate::types::Reason;
 use cloverhollow::{Heard, ListMode, ServerId};
-use cloverhollow_recovery::ledger::Held;
+use cloverhollow_recovery::ledger::{Bounds, Held};
 use cloverhollow_recovery::{digest, Deed, Paid, Recovered};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -64,6 +65,22 @@
         }
     }
 
+    /// Whether it is known that a paid session may have run; those past the bound are forgotten.
+    pub(crate) fn remembers_paid(&self, sid: &str) -> bool {
+        self.most.is_none_or(|most| self.spent.has(digest(sid)) || self.spent.iter().len() >= most)
+    }
+
+    /// What is kept of all lives is bounded.
+    pub(crate) fn check(&self) -> Result<(), Broken> {
+        let bound = |what, held, most| hold(held <= most, || Broken::Lives { what, held, most });
+        bound("paid sessions", self.spent.iter().len(), self.most.unwrap_or(0))?;
+        let most = Bounds::default();
+        bound("servers that take no new work", self.stopped.len(), most.stopped)?;
+        bound("servers that failed", self.failed.len(), most.stopped)?;
+        bound("servers to be told of", self.untold.len(), most.stopped)?;
+        bound("sessions left over", self.left_over.len(), most.held)
+    }
+
     /// Why a session cannot be set up, as far as other sessions and lives tell. Rule 2: one of which it is not
     /// certain that it never ran is not; nor one of which it cannot be told, after a start that proves nothing.
     pub(crate) fn bars(&self, now: Duration, sid: &str, paid: bool) -> Option<Reason> {
--- a/crates/session/src/timers.rs
+++ b/crates/session/src/timers.rs
@@ -34,6 +34,11 @@
         self.armed.len()
     }
 
+    /// All that are armed, in order.
+    pub(crate) fn armed(&self) -> impl Iterator<Item = &Due> {
+        self.armed.values()
+    }
+
     pub(crate) fn first(&self) -> Option<Duration> {
         self.armed.first_key_value().map(|((at, _), _)| *at)
     }
--- a/crates/session/tests/days.rs
+++ b/crates/session/tests/days.rs
@@ -56,6 +56,7 @@
         // What the shell answers at once goes into the next step, as in the daemon.
         while !next.is_empty() || self.core.next_due().is_some_and(|due| due <= self.now) {
             let commands = self.core.step(self.now, std::mem::take(&mut next));
+            assert_eq!(self.core.check(), Ok(()));
             for command in commands {
                 next.extend(self.carry_out(command));
             }
