A paid session that is handed over is remembered: its name is not set up again

Cause: Core::adopted made a playing session without telling lives.ran; once it was over, a request of its name was set up again, where memory is kept (rule 2). In service sessions are adopted on the platform only, which keeps no memory.

--- a/crates/session/src/core/viewers.rs
+++ b/crates/session/src/core/viewers.rs
@@ -51,6 +51,9 @@
         let paid = self.terms.classes[a.class].paid;
         let mut s = Session { sent: 1, ..Session::new(a, paid, self.now) };
         self.plays(request, &mut s, AttemptId { request, number: 0 }, server, address);
+        if s.paid {
+            self.lives.ran(&s.sid);
+        }
         self.sessions.insert(request, s);
     }
 
--- /dev/null
+++ b/crates/session/tests/found.rs
@@ -0,0 +1,22 @@
+//! What the check found under random load, each by itself.
+
+mod common;
+
+use cloverhollow_session::*;
+use common::*;
+
+fn looked(core: &TestCore) {
+    assert_eq!(core.check(), Ok(()));
+}
+
+/// An adopted paid session was not remembered: once it was over, its name could be set up again (rule 2).
+#[test]
+fn a_paid_session_that_was_handed_over_is_not_set_up_again() {
+    let mut core = core();
+    let s = settings(SETTINGS);
+    let arrival = arrival(&s, 1, "/club/paid/t1/0", "sid=\"s\",su");
+    core.step(DAY, [serving(2), Input::Adopted { arrival, server: 1 }]);
+    looked(&core);
+    core.step(DAY + ms(10), [Input::Over { sid: "s".into(), why: OverWhy::Ended, load: Load::default() }]);
+    assert_eq!(words(&core.step(DAY + ms(20), [call(2, "s", "paid")])), ["2 failed set-up-before"]);
+}
