A viewer who hangs up after its attempt's time was up leaves no session behind

Cause: whether a session ends with its attempt was read from why the attempt was recalled. When its time was up first and the viewer hung up before the word on that recall, the module was told that nothing is owed any more and dropped the request, while the core went back to deciding: the session was held for ever, and a later request of its name joined it and got no answer until it hung up (rule 1). A front's desk takes what lies in its box before the word on a recall, so one batch is enough.

Change: the session itself says that all who waited have gone.

--- a/crates/session/src/core/attempts.rs
+++ b/crates/session/src/core/attempts.rs
@@ -38,7 +38,8 @@
         }
         let Some(s) = self.sessions.get_mut(&attempt.request) else { return };
         // Where it went, whatever the list says by now: an answer counts even if its server has left the list.
-        let Phase::Out { server, address, since, recalled, .. } = s.phase else { return };
+        let Phase::Out { server, address, since, .. } = s.phase else { return };
+        let gone = s.gone;
         self.out_at.remove(&(server, attempt));
         count(&self.stats.playing);
         self.learning.behaved(self.now, server, true, false);
@@ -63,7 +64,7 @@
         }
         self.sessions.insert(request, s);
         self.reading(request, server, load);
-        if nobody && recalled == Some(RecallWhy::HungUp) {
+        if nobody && gone {
             self.over(request, OverWhy::Quit, Load::default());
         }
     }
@@ -75,7 +76,8 @@
         let Some(s) = self.sessions.get_mut(&attempt.request) else { return };
         let Phase::Out { server, address, recalled, .. } = s.phase else { return };
         self.out_at.remove(&(server, attempt));
-        let left = recalled == Some(RecallWhy::HungUp);
+        // Not by why it was recalled: its time may have been up before its viewer went.
+        let left = s.gone;
         let outcome = match (end, recalled) {
             (AttemptEnd::NotConnected, _) => Outcome::ConnectFailed,
             (AttemptEnd::Full, _) => Outcome::Full,
--- a/crates/session/src/core/viewers.rs
+++ b/crates/session/src/core/viewers.rs
@@ -112,13 +112,14 @@
         self.owed = self.owed.saturating_sub(1);
         count(&self.stats.hung_up);
         let Some(request) = self.by_sid.get(sid).copied() else { return };
-        let Some(s) = self.sessions.get(&request).filter(|s| s.waiting.is_empty()) else { return };
+        let Some(s) = self.sessions.get_mut(&request).filter(|s| s.waiting.is_empty()) else { return };
         match s.phase {
             Phase::Deciding => {
                 self.events.push(Event::Gone(request));
                 self.forget(request);
             }
             Phase::Out { attempt, .. } => {
+                s.gone = true;
                 self.events.push(Event::Gone(request));
                 self.recall(attempt, RecallWhy::HungUp);
             }
--- a/crates/session/src/held.rs
+++ b/crates/session/src/held.rs
@@ -41,6 +41,8 @@
     pub(crate) deadline: Duration,
     pub(crate) rung: usize,
     pub(crate) sent: u32,
+    /// All who waited have hung up, and the module knows: its attempt is the last one.
+    pub(crate) gone: bool,
     /// How the last attempt that may have run ended.
     pub(crate) ran: Option<AttemptEnd>,
     /// An attempt could not be taken down, and did not go out.
@@ -62,6 +64,7 @@
             deadline,
             rung: 0,
             sent: 0,
+            gone: false,
             ran: None,
             not_kept: false,
             phase: Phase::Deciding,
--- a/crates/session/tests/found.rs
+++ b/crates/session/tests/found.rs
@@ -20,3 +20,19 @@
     core.step(DAY + ms(10), [Input::Over { sid: "s".into(), why: OverWhy::Ended, load: Load::default() }]);
     assert_eq!(words(&core.step(DAY + ms(20), [call(2, "s", "paid")])), ["2 failed set-up-before"]);
 }
+
+/// A viewer hung up after its attempt's time was up, and before the word on that: the session was held for nobody, for
+/// ever, and a later request of its name waited without an answer (rule 1).
+#[test]
+fn a_viewer_who_hangs_up_after_the_time_out_leaves_no_session_behind() {
+    let mut core = core();
+    let setup = sent(&core.step(DAY, [serving(3), call(1, "s", "clip")]));
+    let due = core.next_due().unwrap();
+    assert_eq!(words(&core.step(due, [])), [format!("recall {} TimedOut", setup.attempt)]);
+    let left = Input::HungUp { viewer: ViewerId(1), sid: "s".into() };
+    let out = core.step(due, [left, ended(setup.attempt, AttemptEnd::Unanswered)]);
+    assert_eq!(words(&out), ["release s"]);
+    looked(&core);
+    assert_eq!(core.held(), 0);
+    sent(&core.step(due + ms(20), [call(2, "s", "clip")]));
+}
