When the last who waits runs out of time, the attempt is recalled

Cause: a further request's own time-out took it off the waiting and answered it, and looked at nothing else. Where the first viewer had hung up before, the attempt went on for nobody, was tried again after a failure, and what it set up had a seat until it was idle.

Change: the same way out as a hang-up's, Core::nobody_waits.

--- a/crates/session/src/core/mod.rs
+++ b/crates/session/src/core/mod.rs
@@ -211,6 +211,7 @@
                 let answer = Answer::Failed { late: true, reason: Reason::TimeUp };
                 if self.stop_waiting(viewer, &sid) {
                     self.answer(viewer, answer);
+                    self.nobody_waits(&sid);
                 }
             }
             Due::Idle(request) => {
--- a/crates/session/src/core/viewers.rs
+++ b/crates/session/src/core/viewers.rs
@@ -111,6 +111,11 @@
         }
         self.owed = self.owed.saturating_sub(1);
         count(&self.stats.hung_up);
+        self.nobody_waits(sid);
+    }
+
+    /// Lets go of a session that is being set up, where nobody waits for it any more.
+    pub(super) fn nobody_waits(&mut self, sid: &Sid) {
         let Some(request) = self.by_sid.get(sid).copied() else { return };
         let Some(s) = self.sessions.get_mut(&request).filter(|s| s.waiting.is_empty()) else { return };
         match s.phase {
