--- a/crates/session/tests/found.rs
+++ b/crates/session/tests/found.rs
@@ -43,12 +43,12 @@
 fn when_the_last_who_waits_runs_out_of_time_the_attempt_is_recalled() {
     let mut core = core();
     let setup = sent(&core.step(DAY, [serving(3), call(1, "s", "clip")]));
-    let hasty = arrival(&settings(SETTINGS), 2, "/club/clip/t1/0", "sid=\"s\",su,dl=500");
+    let hasty = arrival(&settings(SETTINGS), 2, "/club/clip/t1/0", "sid=\"s\",su,dl=300");
     let left = Input::HungUp { viewer: ViewerId(1), sid: "s".into() };
     assert!(core.step(DAY + ms(10), [Input::Arrived(hasty), left]).is_empty());
-    let out = words(&core.step(DAY + ms(460), []));
+    let out = words(&core.step(DAY + ms(260), []));
     assert_eq!(out, ["2 failed time-up".to_string(), format!("recall {} HungUp", setup.attempt)]);
     looked(&core);
-    core.step(DAY + ms(461), [ended(setup.attempt, AttemptEnd::Unanswered)]);
+    core.step(DAY + ms(261), [ended(setup.attempt, AttemptEnd::Unanswered)]);
     assert_eq!(core.held(), 0);
 }
