A viewer who hangs up and asks again at once gets its answer

Cause: when the last who waits hangs up, the attempt is recalled and the session ends with it. A request of the same name that comes before the shell's word on that recall (a reload: the hang-up and the new request lie in one batch) joined the session and was dropped with it: no answer ever, until its viewer gave up (rule 1). It was not asked for its own set-up either.

Change: such a request is kept whole with who waits, has a time-out of its own, and is a new request when the attempt has ended: with a set-up of its own, or, where the paid one may have run, the answer that it may not be set up again. If the attempt plays all the same, it follows.

Found by Core::check (Owed: 1 owed, 0 wait) under random load, shrunk to seven happenings with the decision module.

--- a/crates/session/src/core/attempts.rs
+++ b/crates/session/src/core/attempts.rs
@@ -116,7 +116,9 @@
         let ended = Event::Ended(attempt.request, attempt.number, server, outcome, left, load.report());
         self.events.push(ended);
         if left {
+            let (waiting, paid_ran) = (std::mem::take(&mut s.waiting), s.paid && s.ran.is_some());
             self.forget(attempt.request);
+            self.ask_anew(waiting, paid_ran);
         }
     }
 }
--- a/crates/session/src/core/viewers.rs
+++ b/crates/session/src/core/viewers.rs
@@ -13,6 +13,10 @@
     pub(super) fn arrived(&mut self, a: Arrival<A>) {
         self.owed += 1;
         self.stats.hints(&a.faults, a.contradictions);
+        self.asks(a);
+    }
+
+    fn asks(&mut self, a: Arrival<A>) {
         if let Some(request) = self.by_sid.get(&a.sid).copied() {
             return self.joined(request, a);
         }
@@ -34,7 +38,7 @@
         self.events.push(Event::Call(a.call(request, deadline)));
         self.note_hints(&a);
         self.by_sid.insert(a.sid.clone(), request);
-        let waiting = vec![Waiter { viewer: a.viewer, owner: true }];
+        let waiting = vec![Waiter { viewer: a.viewer, owner: true, anew: None }];
         let session = Session { waiting, ..Session::new(a, class.paid, deadline) };
         self.sessions.insert(request, session);
     }
@@ -85,17 +89,33 @@
             }
             _ => {
                 let own = self.now + a.patience.saturating_sub(self.terms.margin);
-                s.waiting.push(Waiter { viewer: a.viewer, owner: false });
+                let viewer = a.viewer;
                 // The first one's time is the module's to keep; a further one may have less.
-                if own < s.deadline {
-                    self.timers.arm(own, Due::Viewer(s.sid.clone(), a.viewer));
+                if own < s.deadline || s.gone {
+                    self.timers.arm(own, Due::Viewer(s.sid.clone(), viewer));
                 }
+                let anew = s.gone.then(|| (self.now, Box::new(a)));
+                s.waiting.push(Waiter { viewer, owner: false, anew });
                 return;
             }
         };
         self.answer(a.viewer, answer);
     }
 
+    /// Those who came after all others had hung up ask anew, now that the attempt has ended. Guards a viewer who closes
+    /// its connection and asks again at once: its request was dropped with the one before, without an answer (rule 1).
+    pub(super) fn ask_anew(&mut self, waiting: Vec<Waiter<A>>, paid_ran: bool) {
+        for w in waiting {
+            match w.anew {
+                Some((since, a)) if !paid_ran => {
+                    let patience = a.patience.saturating_sub(self.now.saturating_sub(since));
+                    self.asks(Arrival { patience, ..*a });
+                }
+                _ => self.answer(w.viewer, Answer::Failed { late: false, reason: Reason::SetUpBefore }),
+            }
+        }
+    }
+
     /// Takes a viewer off the waiting; whether it was there.
     pub(super) fn stop_waiting(&mut self, viewer: ViewerId, sid: &Sid) -> bool {
         let Some(request) = self.by_sid.get(sid) else { return false };
@@ -124,7 +144,9 @@
                 self.forget(request);
             }
             Phase::Out { attempt, .. } => {
-                s.gone = true;
+                if std::mem::replace(&mut s.gone, true) {
+                    return; // one who came after the last one left has left too
+                }
                 self.events.push(Event::Gone(request));
                 self.recall(attempt, RecallWhy::HungUp);
             }
--- a/crates/session/src/held.rs
+++ b/crates/session/src/held.rs
@@ -10,10 +10,12 @@
 
 /// Someone who waits for a session's set-up.
 #[derive(Debug)]
-pub(crate) struct Waiter {
+pub(crate) struct Waiter<A> {
     pub(crate) viewer: ViewerId,
     /// It brought the request that the set-up is sent with.
     pub(crate) owner: bool,
+    /// It came when all who had waited were gone, at that time: its request is a new one once the attempt has ended.
+    pub(crate) anew: Option<(Duration, Box<Arrival<A>>)>,
 }
 
 #[derive(Debug)]
@@ -48,7 +50,7 @@
     /// An attempt could not be taken down, and did not go out.
     pub(crate) not_kept: bool,
     pub(crate) phase: Phase,
-    pub(crate) waiting: Vec<Waiter>,
+    pub(crate) waiting: Vec<Waiter<A>>,
     pub(crate) told: Contradictions,
     pub(crate) ask: A,
 }
--- a/crates/session/tests/found.rs
+++ b/crates/session/tests/found.rs
@@ -52,3 +52,29 @@
     core.step(DAY + ms(261), [ended(setup.attempt, AttemptEnd::Unanswered)]);
     assert_eq!(core.held(), 0);
 }
+
+/// A player that closes its connection and asks again at once, as at a reload: its second request joined the session that
+/// was given up, and was dropped with it (rule 1).
+#[test]
+fn a_viewer_who_hangs_up_and_asks_again_at_once_gets_its_answer() {
+    let again = |class: &str, end: AttemptEnd| {
+        let mut core = core();
+        let setup = sent(&core.step(DAY, [serving(3), call(1, "s", class)]));
+        let left = Input::HungUp { viewer: ViewerId(1), sid: "s".into() };
+        let out = core.step(DAY + ms(10), [left, call(2, "s", class)]);
+        assert_eq!(words(&out), [format!("recall {} HungUp", setup.attempt)]);
+        looked(&core);
+        let out = core.step(DAY + ms(11), [ended(setup.attempt, end)]);
+        looked(&core);
+        (core, out)
+    };
+    let (mut core, out) = again("clip", AttemptEnd::Unanswered);
+    let setup = sent(&out);
+    assert_eq!(setup.ask, 2, "the second request is the one that is sent");
+    assert_eq!(words(&core.step(DAY + ms(30), [playing(setup.attempt)])), ["2 stream body"]);
+    let (_, out) = again("paid", AttemptEnd::NeverSent);
+    sent(&out);
+    let (core, out) = again("paid", AttemptEnd::Unanswered);
+    assert_eq!(words(&out), ["release s", "2 failed set-up-before"], "it may have run");
+    assert_eq!(core.held(), 0);
+}
