What decides cannot send or end a session that is out or plays

Cause: the core took each Send and each final answer of the policy for one of a session that is undecided. A Send for one that is out overwrote the attempt (two out for one session, the first one never ended, its entry among those out kept for ever); for one that plays it left the route behind; a refusal of one that is out forgot the session while its server kept what it set up. The module never asks for that; nothing in the core kept it.

Change: both are taken for sessions that are undecided only.

--- a/crates/session/src/core/actions.rs
+++ b/crates/session/src/core/actions.rs
@@ -1,7 +1,7 @@
 //! What the decision module wants done.
 
 use super::Core;
-use crate::held::Phase;
+use crate::held::{Phase, Session};
 use crate::policy::Policy;
 use crate::stats::count;
 use crate::timers::Due;
@@ -47,7 +47,9 @@
     }
 
     pub(super) fn send(&mut self, request: RequestId, server: ServerId, within: Duration) {
-        let Some(s) = self.sessions.get_mut(&request) else { return };
+        // Guards against whoever decides about a session that is out or plays already: two attempts would be out.
+        let deciding = |s: &&mut Session<A>| matches!(s.phase, Phase::Deciding);
+        let Some(s) = self.sessions.get_mut(&request).filter(deciding) else { return };
         let number = s.sent;
         s.sent += 1;
         let attempt = AttemptId { request, number };
@@ -100,10 +102,9 @@
 
     /// The one final answer to all that wait for a session that does not come to play.
     pub(super) fn finish(&mut self, request: RequestId, answer: impl Fn() -> Answer<B>) {
-        let Some(s) = self.sessions.get_mut(&request) else { return };
-        if matches!(s.phase, Phase::Playing { .. }) {
-            return;
-        }
+        // While an attempt is out nobody can say what became of it, and its server would keep what it set up.
+        let deciding = |s: &&mut Session<A>| matches!(s.phase, Phase::Deciding);
+        let Some(s) = self.sessions.get_mut(&request).filter(deciding) else { return };
         for w in std::mem::take(&mut s.waiting) {
             self.answer(w.viewer, answer());
         }
--- a/crates/session/tests/found.rs
+++ b/crates/session/tests/found.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use cloverhollow::{Action, Event};
 use cloverhollow_session::*;
 use common::*;
+use std::time::Duration;
 
 fn looked(core: &TestCore) {
     assert_eq!(core.check(), Ok(()));
@@ -78,3 +80,28 @@
     assert_eq!(words(&out), ["release s", "2 failed set-up-before"], "it may have run");
     assert_eq!(core.held(), 0);
 }
+
+/// Sends each call twice, then refuses it.
+struct Hasty;
+
+impl Policy for Hasty {
+    fn step(&mut self, _: Duration, events: &[Event]) -> Vec<Action> {
+        let calls = events.iter().filter_map(|e| match e {
+            Event::Call(call) => Some(call.request),
+            _ => None,
+        });
+        let all = |r| [Action::Send(r, 1, ms(500)), Action::Send(r, 2, ms(500)), Action::Refuse(r, ms(500))];
+        calls.flat_map(all).collect()
+    }
+}
+
+/// The core took such words for granted: two attempts out for one session, and one that nobody ended.
+#[test]
+fn a_session_that_is_out_is_not_sent_again_nor_refused() {
+    let mut core = Core::new(Hasty, settings(SETTINGS), 1);
+    let out = core.step(DAY, [serving(2), call(1, "s", "clip")]);
+    assert_eq!(core.check(), Ok(()));
+    assert_eq!(words(&out), ["send s 1.0"]);
+    core.step(DAY + ms(10), [playing(sent(&out).attempt)]);
+    assert_eq!((core.check(), core.held()), (Ok(()), 1));
+}
