The list and what lives tell each other of servers are bounded over the months

Cause: a message of discovery may name 65,536 servers, and patches added to the list without end (docs: the list, 65,536). Servers that took no new work any more, or failed, and never came back were remembered by this life without end; the paper of deeds keeps 65,536.

Change: a server that would be one more than the list may hold is left out, with a line in the log; those that are gone make room. The two sets keep the paper's bound; what goes may be written down once more, which is the careful way.

--- a/crates/session/src/list/mod.rs
+++ b/crates/session/src/list/mod.rs
@@ -104,7 +104,17 @@
                 known.entry.state = WireState::Gone;
             }
         }
+        let mut there = self.servers.values().filter(|k| k.entry.state != WireState::Gone).count();
+        let mut left_out = 0;
         for e in &news.entries {
+            // Guards against a list that grows by patches without end: each message is bounded, their sum is not.
+            let was = self.servers.get(&e.id).is_some_and(|k| k.entry.state != WireState::Gone);
+            let is = e.state != WireState::Gone;
+            if is && !was && there >= MOST_SERVERS {
+                left_out += 1;
+                continue;
+            }
+            there = there + usize::from(is) - usize::from(was);
             let started = self.started(now, e);
             let before = self.servers.insert(e.id, Known { entry: e.clone(), started });
             let served = before.is_some_and(|k| k.entry.state == WireState::Serving);
@@ -125,6 +135,9 @@
                 far: e.hall != terms.hall,
             });
         }
+        if left_out > 0 {
+            tracing::warn!(left_out, most = MOST_SERVERS, "more servers than a list may hold");
+        }
         out
     }
 
--- a/crates/session/src/lives.rs
+++ b/crates/session/src/lives.rs
@@ -31,6 +31,18 @@
     left_over: Vec<Held>,
 }
 
+/// Puts a server into a set that the paper's bound bounds; whether it is new. Guards against months in which servers
+/// come, each with an id of its own, and stop or fail for good. Whatever goes for it may be written down once more, and
+/// is not taken back on the paper: both are the careful way.
+fn insert(set: &mut BTreeSet<ServerId>, server: ServerId) -> bool {
+    let new = set.insert(server);
+    if set.len() > Bounds::default().stopped {
+        let other = set.iter().copied().find(|s| *s != server);
+        other.map(|s| set.remove(&s));
+    }
+    new
+}
+
 impl Lives {
     pub(crate) fn new(terms: Option<&MemoryTerms>) -> Self {
         Lives {
@@ -118,7 +130,7 @@
             }
         }
         for server in stopped.iter().copied() {
-            if self.stopped.insert(server) {
+            if insert(&mut self.stopped, server) {
                 deeds.push(Deed::Listed { server, serves: false });
             }
         }
@@ -128,7 +140,7 @@
     /// How an attempt at a server ended, or a session there: what is to be taken down of it.
     pub(crate) fn behaved(&mut self, server: ServerId, worked: bool) -> Option<Deed> {
         self.most?;
-        let changed = if worked { self.failed.remove(&server) } else { self.failed.insert(server) };
+        let changed = if worked { self.failed.remove(&server) } else { insert(&mut self.failed, server) };
         changed.then_some(Deed::Failed { server, failed: !worked })
     }
 
