Members look at themselves: check of the view, the leases, the witness and the seals

Need: what members keep between two datagrams was looked at by nobody but the model, which sees two members.

Change: Swim::check, Heads::check, Witness::check and Member::check, with an error that names the invariant.

--- a/crates/members/src/heads.rs
+++ b/crates/members/src/heads.rs
@@ -3,6 +3,7 @@
 //! Why one over the count sums to no more than one over all fronts is in `docs/fleet.md`, 'Why the sum holds';
 //! `tests/model.rs` looks at all interleavings of a small fleet.
 
+use crate::broken::{hold, Broken};
 use crate::words::{Counted, Renew};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -100,6 +101,48 @@
         self.part = Some(Part { count: union(self.answers.values()), from, until });
     }
 
+    /// Whether all that holds between two steps holds: only answers that count are kept, and a part that was taken in
+    /// this round is by a majority, over what the answers count, and never longer than a lease from the round's begin.
+    ///
+    /// # Errors
+    /// The first invariant that is broken.
+    pub fn check(&self) -> Result<(), Broken> {
+        let (answers, witnesses) = (self.answers.len(), self.witnesses.len());
+        let majority = witnesses / 2 + 1;
+        hold(answers <= majority, || Broken::Answers { answers, majority })?;
+        for (witness, c) in &self.answers {
+            let counts = c.round == self.round && !c.blind && self.witnesses.contains(witness);
+            hold(counts && c.witness == *witness, || Broken::Answer { witness: *witness })?;
+        }
+        let (next, begun) = (self.next, self.begun);
+        let paced = next <= begun + self.lease / ROUNDS;
+        hold(paced, || Broken::Round { next, begun })?;
+        let Some(Part { count, until, .. }) = self.part else { return Ok(()) };
+        hold(until <= begun + self.lease, || Broken::Lease { count, until, begun })?;
+        if until == begun + self.lease {
+            // Taken in this round. More than half of the witnesses vouch for it.
+            hold(2 * answers > witnesses, || Broken::Majority { count, answers, witnesses })?;
+            let union = union(self.answers.values());
+            hold(count == union, || Broken::Count { count, union })?;
+        }
+        Ok(())
+    }
+
+    /// Rounds begun.
+    pub(crate) fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// Whether a part that came after `before` waited as it has to: one without a gap goes on, any other one is a
+    /// newcomer's and holds only after the hold.
+    pub(crate) fn check_waited(&self, before: Option<Part>, now: Duration) -> Result<(), Broken> {
+        let Some(part) = self.part.filter(|p| Some(*p) != before) else { return Ok(()) };
+        let went_on = before.is_some_and(|b| now < b.until && b.from == part.from);
+        let waits = part.from >= now + Heads::hold(self.lease);
+        let until = before.map_or(Duration::ZERO, |b| b.until);
+        hold(went_on || waits, || Broken::Newcomer { from: part.from, until })
+    }
+
     /// The part as it stands; to be asked by [`Part::at`] at the time of use.
     pub fn part(&self) -> Option<Part> {
         self.part
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Times are [`std::time::Duration`]s on the caller's one forward-going clock, which goes on over a suspend.
 
+mod broken;
 mod heads;
 mod member;
 mod seal;
@@ -16,6 +17,7 @@
 mod witness;
 mod words;
 
+pub use broken::Broken;
 pub use heads::{Heads, Part};
 pub use member::{Member, MemberSettings, Notice, Outgoing, Status};
 pub use seal::{Key, Keys, Refused, Sealer, MOST_BODY, MOST_DATAGRAM, MOST_SOURCES};
--- a/crates/members/src/member/mod.rs
+++ b/crates/members/src/member/mod.rs
@@ -1,5 +1,6 @@
 //! A member behind one door: datagrams in, datagrams out, a clock from outside.
 
+mod check;
 mod told;
 
 pub use told::{MemberSettings, Notice, Outgoing, Status};
@@ -11,6 +12,7 @@
 use crate::who::{Life, Who};
 use crate::witness::Witness;
 use crate::words::Word;
+use check::Marks;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +27,7 @@
     out: Vec<Outgoing>,
     notices: Vec<Notice>,
     status: Status,
+    marks: Marks,
 }
 
 impl Member {
@@ -41,6 +44,7 @@
             out: Vec::new(),
             notices: Vec::new(),
             status: Status::default(),
+            marks: Marks::default(),
         }
     }
 
@@ -49,6 +53,7 @@
     /// # Errors
     /// It was not taken, and changed nothing.
     pub fn datagram(&mut self, now: Duration, bytes: &[u8]) -> Result<(), Refused> {
+        self.mark(now);
         let before = self.standing();
         let taken = self.take(now, bytes);
         match taken {
@@ -79,6 +84,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
+        self.mark(now);
         let before = self.standing();
         if let Some(late) = self.swim.tick(now) {
             self.notices.push(Notice::StoodStill(late));
@@ -120,6 +126,7 @@
 
     /// Leaves with a word.
     pub fn leave(&mut self, now: Duration) {
+        self.mark(now);
         self.swim.leave(now);
         self.flush();
     }
@@ -135,6 +142,7 @@
     /// # Errors
     /// It was not taken, and changed nothing.
     pub fn sync(&mut self, now: Duration, nonce: u64, body: &[u8]) -> Result<(), Refused> {
+        self.mark(now);
         let (_, payload) = self.keys.open_body(body)?;
         let (asked, records) =
             postcard::from_bytes::<(u64, Vec<Record>)>(payload).map_err(|_| Refused::Unreadable)?;
--- a/crates/members/src/seal.rs
+++ b/crates/members/src/seal.rs
@@ -1,5 +1,6 @@
 //! Datagrams that strangers can neither make nor repeat: a MAC by keys with ids, and a window for each sender.
 
+use crate::broken::{hold, Broken};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 use std::collections::{BTreeMap, HashMap};
@@ -158,6 +159,15 @@
         }
     }
 
+    /// Whether senders are bounded, and the window of each holds its highest number.
+    pub(crate) fn check(&self) -> Result<(), Broken> {
+        let (sources, most) = (self.windows.len(), MOST_SOURCES);
+        hold(sources <= most, || Broken::Sources { sources, most })?;
+        let wrong =
+            self.windows.iter().find(|(_, w)| (w.highest > 0 && w.heard & 1 == 0) || w.last > self.taken);
+        wrong.map_or(Ok(()), |(s, w)| Err(Broken::Window { source_id: *s, highest: w.highest }))
+    }
+
     /// Senders that are remembered.
     pub fn sources(&self) -> usize {
         self.windows.len()
@@ -179,6 +189,11 @@
         Sealer { id: key.id, key: ready(&key), source, number: 0 }
     }
 
+    /// Number of the last one.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
     /// A datagram with that payload.
     pub fn seal(&mut self, payload: &[u8]) -> Vec<u8> {
         self.number += 1;
--- a/crates/members/src/swim/mod.rs
+++ b/crates/members/src/swim/mod.rs
@@ -3,6 +3,7 @@
 //! What is ours: time-outs that wait for a process that stood still, seeds that are asked again, a life that rises
 //! when it is refused, and the word to step back when another process bears the same name.
 
+mod check;
 mod effects;
 mod look;
 mod settings;
@@ -12,6 +13,7 @@
 use crate::seal::Refused;
 use crate::view::{Sure, View};
 use crate::who::Who;
+use check::Marks;
 use effects::Effects;
 use foca::{Foca, Header, NoCustomBroadcast, PostcardCodec, State, Timer};
 use rand::SeedableRng;
@@ -45,6 +47,7 @@
     rise: u64,
     stepped_back: Option<Who>,
     left: bool,
+    marks: Option<Marks>,
 }
 
 impl std::fmt::Debug for Swim {
@@ -70,6 +73,7 @@
             rise: 1,
             stepped_back: None,
             left: false,
+            marks: None,
         };
         swim.look(now);
         swim
@@ -106,6 +110,7 @@
     /// # Errors
     /// It can't be read, or is a stranger's too many.
     pub fn message(&mut self, now: Duration, bytes: &[u8]) -> Result<(), Refused> {
+        self.mark(now);
         let (header, _) = postcard::take_from_bytes::<Header<Who>>(bytes).map_err(|_| Refused::Unreadable)?;
         if !header.src.bounded() || !header.dst.bounded() {
             return Err(Refused::Unreadable);
@@ -134,6 +139,7 @@
     /// Does what is due. `Some`: the process stood still for so long, and what it believed before is doubted anew
     /// in place of being acted on.
     pub fn tick(&mut self, now: Duration) -> Option<Duration> {
+        self.mark(now);
         let late = now.saturating_sub(self.next_due());
         let stood = (late > self.set.suspicion / 2).then_some(late);
         if let Some(late) = stood {
@@ -174,6 +180,7 @@
 
     /// Leaves with a word: the others need not find out.
     pub fn leave(&mut self, now: Duration) {
+        self.mark(now);
         self.left = true;
         let _ = self.foca.leave_cluster(&mut self.effects);
         self.settle(now);
@@ -188,6 +195,7 @@
     /// What another member holds, asked for over the side address. Those in doubt there are not doubted here:
     /// they are probed in their turn.
     pub fn sync(&mut self, now: Duration, records: Vec<Record>) {
+        self.mark(now);
         let room = MOST_MEMBERS.saturating_sub(self.foca.iter_membership_state().len());
         let view = &self.view;
         let known = |r: &Record| view.members.contains_key(&r.0.id().address);
--- a/crates/members/src/witness.rs
+++ b/crates/members/src/witness.rs
@@ -1,5 +1,6 @@
 //! A witness: who has renewed a lease, for a while.
 
+use crate::broken::{hold, Broken};
 use crate::words::{Counted, Renew};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -43,6 +44,22 @@
         }
     }
 
+    /// Whether all that holds after a renewal holds: holders are bounded, none is older than the hold, and it is blind no
+    /// longer than a hold.
+    ///
+    /// # Errors
+    /// The first invariant that is broken.
+    pub fn check(&self) -> Result<(), Broken> {
+        let (holders, most) = (self.renewed.len(), MOST_HOLDERS);
+        hold(holders <= most, || Broken::Holders { holders, most })?;
+        let Some(latest) = self.renewed.values().max().copied() else { return Ok(()) };
+        for (holder, at) in &self.renewed {
+            let (holder, at) = (*holder, *at);
+            hold(at + self.hold > latest, || Broken::Old { holder, at, latest })?;
+        }
+        Ok(())
+    }
+
     /// Processes that it remembers.
     pub fn holders(&self) -> usize {
         self.renewed.len()
--- a/crates/members/tests/net/mod.rs
+++ b/crates/members/tests/net/mod.rs
@@ -1,10 +1,15 @@
 //! Many members over a network in virtual time: loss, delay, cuts, stalls, deaths. The same seed plays the same day.
 #![allow(dead_code)] // each test binary uses a part of it
 
+mod looks;
+
+#[allow(unused_imports)] // as above
+pub use looks::settled;
+
 use cloverhollow_members::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,9 +32,14 @@
     pub cut: Box<dyn Fn(usize, usize) -> bool>,
     pub loss: f64,
     pub delay: Duration,
+    /// The part of datagrams that comes twice, and the part that comes up to three seconds late.
+    pub double: f64,
+    pub late: f64,
     /// Members that stand still until then: what comes for them waits, 256 datagrams at most.
     pub stopped: BTreeMap<usize, Duration>,
     pub notices: Vec<(usize, Notice)>,
+    /// Steps of members, each looked at.
+    pub steps: u64,
     queue: BTreeMap<(Duration, u64), (usize, Vec<u8>)>,
     sent: u64,
     rng: ChaCha8Rng,
@@ -68,8 +78,11 @@
             cut: Box::new(|_, _| false),
             loss: 0.0,
             delay: ms(2),
+            double: 0.0,
+            late: 0.0,
             stopped: BTreeMap::new(),
             notices: Vec::new(),
+            steps: 0,
             queue: BTreeMap::new(),
             sent: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -118,6 +131,13 @@
         Some(usize::from(hi) * 250 + usize::from(lo) - 1)
     }
 
+    /// A member that has taken a step.
+    fn looked_at(&mut self, i: usize) {
+        self.steps += 1;
+        let broken = self.members[i].as_ref().and_then(|m| m.check().err());
+        assert_eq!(broken, None, "member {i} at {:?}", self.now);
+    }
+
     fn flush(&mut self, i: usize) {
         let Some(m) = self.members[i].as_mut() else { return };
         let (out, notices) = (m.take_out(), m.take_notices());
@@ -128,18 +148,33 @@
             if (self.cut)(i, to) || self.rng.random_bool(self.loss) {
                 continue;
             }
-            let jitter = self.delay.mul_f64(self.rng.random::<f64>());
-            self.sent += 1;
-            self.queue.insert((self.now + self.delay + jitter, self.sent), (to, bytes));
+            let twice = self.double > 0.0 && self.rng.random_bool(self.double);
+            for bytes in [Some(bytes.clone()), twice.then_some(bytes)].into_iter().flatten() {
+                let late = self.late > 0.0 && self.rng.random_bool(self.late);
+                let late = if late { ms(self.rng.random_range(0..3_000)) } else { Duration::ZERO };
+                let jitter = self.delay.mul_f64(self.rng.random::<f64>());
+                self.sent += 1;
+                self.queue.insert((self.now + self.delay + jitter + late, self.sent), (to, bytes));
+            }
         }
     }
 
+    fn awake(&self, i: usize) -> Duration {
+        self.stopped.get(&i).copied().unwrap_or_default()
+    }
+
+    fn due(&self, i: usize) -> Option<Duration> {
+        Some(self.members[i].as_ref()?.next_due().max(self.awake(i)))
+    }
+
     /// Plays on until then.
     pub fn until(&mut self, end: Duration) {
+        // Whoever is due first, and the first of those of one instant.
+        let mut due_at: Vec<_> = (0..self.members.len()).map(|i| self.due(i)).collect();
+        let mut dues: BTreeSet<_> =
+            due_at.iter().enumerate().filter_map(|(i, at)| Some(((*at)?, i))).collect();
         loop {
-            let awake = |i: &usize| self.stopped.get(i).copied().unwrap_or_default();
-            let due = self.members.iter().enumerate();
-            let due = due.filter_map(|(i, m)| Some((m.as_ref()?.next_due().max(awake(&i)), i))).min();
+            let due = dues.first().copied();
             let datagram = self.queue.first_key_value().map(|((at, _), _)| *at);
             let next = due.map(|d| d.0).into_iter().chain(datagram).min().unwrap_or(end);
             if next >= end {
@@ -147,22 +182,28 @@
                 return;
             }
             self.now = self.now.max(next);
-            if datagram.is_some_and(|at| at <= self.now) {
+            let stepped = if datagram.is_some_and(|at| at <= self.now) {
                 let Some((_, (to, bytes))) = self.queue.pop_first() else { continue };
-                let awake = awake(&to);
+                let awake = self.awake(to);
                 if awake > self.now {
                     self.sent += 1;
                     self.queue.insert((awake, self.sent), (to, bytes));
-                } else if let Some(m) = self.members.get_mut(to).and_then(Option::as_mut) {
-                    let _ = m.datagram(self.now, &bytes);
-                    self.flush(to);
+                    continue;
                 }
-            } else if let Some((_, i)) = due {
-                if let Some(m) = self.members[i].as_mut() {
-                    m.tick(self.now);
-                    self.flush(i);
-                }
-            }
+                let Some(m) = self.members.get_mut(to).and_then(Option::as_mut) else { continue };
+                let _ = m.datagram(self.now, &bytes);
+                to
+            } else {
+                let Some((_, i)) = due else { continue };
+                let Some(m) = self.members[i].as_mut() else { continue };
+                m.tick(self.now);
+                i
+            };
+            self.looked_at(stepped);
+            self.flush(stepped);
+            due_at[stepped].map(|at| dues.remove(&(at, stepped)));
+            due_at[stepped] = self.due(stepped);
+            dues.extend(due_at[stepped].map(|at| (at, stepped)));
         }
     }
 
@@ -185,54 +226,9 @@
             let records = self.members[of].as_mut().and_then(|m| m.records(7));
             if let (Some(records), Some(m)) = (records, self.members[by].as_mut().filter(|_| by != of)) {
                 let _ = m.sync(self.now, 7, &records);
+                self.looked_at(by);
                 self.flush(by);
             }
         }
     }
-
-    pub fn live(&self) -> impl Iterator<Item = (usize, &Member)> {
-        self.members.iter().enumerate().filter_map(|(i, m)| Some((i, m.as_ref()?)))
-    }
-
-    /// How `by` sees `of`.
-    pub fn sees(&self, by: usize, of: usize) -> Option<Sure> {
-        let view = self.members[by].as_ref()?.view();
-        view.members.get(&address(of)).map(|s| s.sure)
-    }
-
-    /// Whether all that live see each other as there and nobody else.
-    pub fn agreed(&self) -> bool {
-        let live: Vec<usize> = self.live().map(|(i, _)| i).collect();
-        self.live().all(|(_, m)| m.view().at_most() == live.len() && m.view().at_least() == live.len())
-    }
-
-    /// Runs until that is so for that many; whether it came to be.
-    pub fn until_agreed_of(&mut self, n: usize, most: Duration) -> bool {
-        self.until_agreed(most).is_some() && self.live().count() == n
-    }
-
-    /// Runs until that is so; how long it took.
-    pub fn until_agreed(&mut self, most: Duration) -> Option<Duration> {
-        let begun = self.now;
-        while self.now < begun + most {
-            self.run(ms(100));
-            if self.agreed() {
-                return Some(self.now - begun);
-            }
-        }
-        None
-    }
-
-    /// The sum of one over the counts in force: rule 4 wants one at the most.
-    pub fn parts(&self) -> f64 {
-        self.live().filter_map(|(_, m)| m.part()?.at(self.now)).map(|n| 1.0 / n as f64).sum()
-    }
-}
-
-/// All of `n` members, who have found each other.
-pub fn settled(n: usize, seed: u64) -> Net {
-    let mut net = Net::new(n, seed);
-    net.start_all();
-    assert!(net.until_agreed(ms(20_000)).is_some(), "{n} members never found each other");
-    net
 }
