Who is doubted by all and never heard of it hears of it from a list, and objects

Cause: a doubt is passed on by datagrams some ten times; only whoever raised it takes the doubted one for gone when its time is up, and not once it has risen to a new life or died.

Change: Swim::sync takes the doubt of this member itself; the library objects to it.

Members without side addresses have no such way.

--- a/crates/members/src/swim/mod.rs
+++ b/crates/members/src/swim/mod.rs
@@ -193,7 +193,9 @@
     }
 
     /// What another member holds, asked for over the side address. Those in doubt there are not doubted here:
-    /// they are probed in their turn.
+    /// they are probed in their turn. A doubt of this member itself is taken, and objected to. Guards one that is
+    /// doubted by all for ever: its doubt was passed on to all but itself, who answers each probe, and whoever was to
+    /// take it for gone has died or risen meanwhile.
     pub fn sync(&mut self, now: Duration, records: Vec<Record>) {
         self.mark(now);
         let room = MOST_MEMBERS.saturating_sub(self.foca.iter_membership_state().len());
@@ -202,7 +204,8 @@
         let (old, new): (Vec<_>, Vec<_>) =
             records.into_iter().filter(|r| r.0.id().bounded()).partition(known);
         let all = old.into_iter().chain(new.into_iter().take(room));
-        let sure = all.map(|r| r.0).filter(|m| m.state() != State::Suspect);
+        let me = self.me().clone();
+        let sure = all.map(|r| r.0).filter(|m| m.state() != State::Suspect || *m.id() == me);
         let _ = self.foca.apply_many(sure, true, &mut self.effects);
         self.settle(now);
     }
