Feature invariants: shells look at the core and the member after each step, and end on a broken one

After each Core::step of both desks, and each datagram, tick and list of the front's member, enforce() looks; a broken one is one line at error level, and the process ends with exit code 70 (EX_SOFTWARE). Without the feature enforce() looks at nothing.

--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -12,8 +12,8 @@
 use crate::Shared;
 use cloverhollow::ListMode;
 use cloverhollow_session::{
-    Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, OverWhy, Policy, RecallWhy,
-    SavedList, ViewerId,
+    enforce, Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, OverWhy, Policy, RecallWhy,
+    SavedList, ViewerId, BROKEN_EXIT,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -146,6 +146,9 @@
             });
             let (listed, told) = lists.fold((false, false), |(_, told), whole| (true, told | whole));
             let commands = self.core.step(self.shared.clock.now(), inputs);
+            if !enforce("session core", || self.core.check()) {
+                std::process::exit(BROKEN_EXIT);
+            }
             if listed {
                 // Without a store nobody listens, and nothing is copied.
                 if !self.saver.is_closed() {
--- a/crates/front/src/members.rs
+++ b/crates/front/src/members.rs
@@ -11,6 +11,7 @@
     Key, Life, Member, MemberSettings, Notice, Outgoing, Sure, SwimSettings, Who, MOST_BODY, MOST_DATAGRAM,
 };
 use cloverhollow_net::{connect, unix_ms, Clock};
+use cloverhollow_session::{enforce, BROKEN_EXIT};
 use cloverhollow_settings::FrontSettings;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -110,6 +111,16 @@
         self.member.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// One step of the member.
+    fn step<T>(&self, step: impl FnOnce(&mut Member) -> T) -> T {
+        let mut member = self.member();
+        let out = step(&mut member);
+        if !enforce("member", || member.check()) {
+            std::process::exit(BROKEN_EXIT);
+        }
+        out
+    }
+
     /// How many fronts the decisions may reckon with now: `None` while there is no count in force. Outer `None`:
     /// without witnesses the settings' number holds.
     pub(crate) fn counted(&self) -> Option<Option<usize>> {
@@ -193,7 +204,9 @@
     async fn ask(&self, peer: SocketAddr) {
         let nonce = fastrand::u64(..);
         let taken = match timeout(WITHIN, question(peer, nonce)).await {
-            Ok(Some(body)) => self.member().sync(self.clock.now(), nonce, &body).map_err(|e| e.to_string()),
+            Ok(Some(body)) => {
+                self.step(|m| m.sync(self.clock.now(), nonce, &body)).map_err(|e| e.to_string())
+            }
             Ok(None) => Err("no answer that can be used".into()),
             Err(_) => Err("no answer in time".into()),
         };
@@ -229,7 +242,7 @@
             () = stop.cancelled() => break,
             got = socket.recv_from(&mut buf) => {
                 if let Ok((n, from)) = got {
-                    if let Err(why) = fleet.member().datagram(clock.now(), &buf[..n]) {
+                    if let Err(why) = fleet.step(|m| m.datagram(clock.now(), &buf[..n])) {
                         tracing::debug!(%from, error = %why, "a datagram is not taken");
                     }
                 }
@@ -239,7 +252,7 @@
             }
             () = sleep_until(clock.instant(due)) => {
                 let now = clock.now();
-                fleet.member().tick(now);
+                fleet.step(|m| m.tick(now));
                 if now >= next_sync {
                     next_sync = now + every;
                     if let (true, Some(peer)) = (asking.is_none(), fleet.somebody()) {
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -19,8 +19,8 @@
 use cloverhollow_platform::viewer::{self, Ask, Wish};
 use cloverhollow_platform::watch::{Down, LinkId, Watch};
 use cloverhollow_session::{
-    Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, OverWhy, RecallWhy, Setup, Sid,
-    ViewerId, WireState,
+    enforce, Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, OverWhy, RecallWhy, Setup,
+    Sid, ViewerId, WireState, BROKEN_EXIT,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -126,6 +126,9 @@
         loop {
             let inputs = std::mem::take(&mut self.inputs);
             let commands = self.core.step(self.clock.now(), inputs);
+            if !enforce("session core", || self.core.check()) {
+                std::process::exit(BROKEN_EXIT);
+            }
             for command in commands {
                 self.carry_out(command);
             }
