--- a/crates/session/src/core/check.rs
+++ b/crates/session/src/core/check.rs
@@ -6,7 +6,7 @@
 use crate::policy::Policy;
 use crate::timers::Due;
 use crate::types::*;
-use cloverhollow::{RequestId, ServerId};
+use cloverhollow::RequestId;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/session/tests/found.rs
+++ b/crates/session/tests/found.rs
@@ -105,3 +105,25 @@
     core.step(DAY + ms(10), [playing(sent(&out).attempt)]);
     assert_eq!((core.check(), core.held()), (Ok(()), 1));
 }
+
+/// Sends to a server that nobody knows, whenever it is told that this never ran.
+struct Stubborn;
+
+impl Policy for Stubborn {
+    fn step(&mut self, _: Duration, events: &[Event]) -> Vec<Action> {
+        let again = |e: &Event| match e {
+            Event::Call(call) => Some(call.request),
+            Event::Ended(request, ..) => Some(*request),
+            _ => None,
+        };
+        events.iter().filter_map(again).map(|r| Action::Send(r, 99, ms(500))).collect()
+    }
+}
+
+/// The check names whoever decides beyond what settings can allow.
+#[test]
+fn more_attempts_than_any_settings_allow_are_named() {
+    let mut core = Core::new(Stubborn, settings(SETTINGS), 1);
+    core.step(DAY, [serving(2), call(1, "s", "clip")]);
+    assert_eq!(core.check(), Err(Broken::Attempts { sid: "s".into(), sent: 20 }));
+}
