Turns at cold servers that all reckon alike; loads told between session managers in service

Change: `has_turn`: where a window holds one set-up a front or more, each sends its part, evenly spaced; else turns go round by the clock, the front's number and the server's key, and stay open for two spans; who has no number has none. Its interface gains plain data (number, key, clock, the operators' line of a fall).

--- a/crates/decisions/src/brain/attempts.rs
+++ b/crates/decisions/src/brain/attempts.rs
@@ -26,11 +26,10 @@
         let s = self.sessions.get_mut(&request).expect("looked up above");
         s.state = State::Out(server);
         self.out.push(Action::Send(request, server, within));
-        let (gap, now) = (self.cold_gap(&self.servers[&server]), self.now);
         let s = self.servers.get_mut(&server).expect("picked among them");
         s.sessions.insert(request);
         s.trial = s.fails > 0;
-        s.turn = now + gap;
+        s.sent = Some(self.now);
         self.reckon(server);
     }
 
--- a/crates/decisions/src/brain/mod.rs
+++ b/crates/decisions/src/brain/mod.rs
@@ -24,8 +24,10 @@
 const STEP_GAP: Duration = Duration::from_secs(30);
 /// Delivered share under which a link counts as short (the wire's own bound for notes of it).
 const SHORT: f64 = 0.98;
-/// How many standard deviations the sum of the fronts' turns at a cold server may lie above its mean.
-const CHANCE: f64 = 2.0;
+/// How long a turn at a cold server stays open, in spans over which it falls.
+const OPEN: f64 = 2.0;
+/// A set-up comes so long after it was decided at the latest, the difference of the fronts' clocks in it.
+const LATE: Duration = Duration::from_millis(250);
 /// How much lower the mark of a step of lesser worth per kB is: the mark goes with this power of it.
 const STEP_POWER: f64 = 0.15;
 /// Usual age of a load report that comes without one: about half of a usual refresh and the way.
@@ -65,8 +67,8 @@
     trial: bool,
     /// When short delivery was last noted, if that was the last note of it.
     short_at: Option<Duration>,
-    /// When this front's next set-up may go to it while it is cold.
-    turn: Duration,
+    /// This front's last set-up there.
+    sent: Option<Duration>,
     sessions: BTreeSet<RequestId>,
 }
 
@@ -116,6 +118,8 @@
     doubt: Duration,
     /// The count in force, if any, where fronts are counted.
     counted: Option<Option<usize>>,
+    /// How far the clock that all fronts share is ahead.
+    ahead: Duration,
     waiting: Vec<RequestId>,
     read: Vec<ServerId>,
     /// When others' parts were last worked out, and the mean rate of an own session then.
@@ -144,6 +148,7 @@
             quiet: Duration::ZERO,
             doubt: Duration::ZERO,
             counted: None,
+            ahead: Duration::ZERO,
             waiting: Vec::new(),
             read: Vec::new(),
             looked: None,
@@ -175,6 +180,7 @@
                 Event::Gone(request) => self.gone(*request),
                 Event::Heard(heard) => self.heard(heard),
                 Event::Before(before) => self.before(before),
+                Event::Clock(ahead) => self.ahead = *ahead,
                 Event::Counted { fronts } => self.counted(*fronts),
                 Event::Timer(ASK_AGAIN) => self.out.push(Action::Subscribe),
                 Event::Timer(_) => {}
--- a/crates/decisions/src/brain/news.rs
+++ b/crates/decisions/src/brain/news.rs
@@ -22,8 +22,6 @@
             s.entry = *e;
             if restarted {
                 self.started(e.server, e.started);
-            } else if self.now < self.doubt && s.turn.is_zero() {
-                self.draw_turn(e.server);
             }
         }
         // Ids of servers that are gone come never again.
@@ -38,7 +36,6 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         (s.lost, s.trial, s.fails, s.rest_until) = (false, false, 0, now);
         s.cold_since = s.cold_since.max(Some(at));
-        self.draw_turn(server);
     }
 
     /// A peer's word on a server of the own list. Guards a front that came back against drains, starts and
@@ -101,31 +98,32 @@
         s.lost || s.cold_since.is_some_and(|t| t + self.set.rules.cold > self.now)
     }
 
-    /// Rule 4: time between this front's set-ups at a cold server, taking it for no warmer than at its start.
+    /// Rule 4: whether one more set-up of this front may go to a cold server now, taking it for no warmer than
+    /// at its start. `most`: what a window holds under the line at which it falls.
     ///
-    /// With a part under one set-up a window the fronts' turns fall at random. Their mean m leaves room for
-    /// `CHANCE` standard deviations of their sum: m + c sqrt(m (1 - m / n)) = budget + 1.
-    pub(super) fn cold_gap(&self, s: &Server) -> Duration {
+    /// Where that is one a front or more, each sends its part, evenly spaced. Else fronts take turns that all
+    /// reckon alike, by the clock, their number and the server's key: one opens each `step` and stays open for a
+    /// while, for one set-up. Those that touch a window, with what is late on its way, are `most`. Who does not
+    /// know its number has no turn then. May hurt: a turn that finds no request goes by.
+    pub(super) fn has_turn(&self, s: &Server) -> bool {
         let r = &self.set.rules;
         let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
         let budget = r.fall_multiple * streams / secs(r.cold).max(TINY) * r.cold_from * secs(r.fall_span);
-        let fronts = self.set.fronts.max(1) as f64;
-        let (most, square) = (budget + 1.0, CHANCE * CHANCE);
-        let (a, b) = (1.0 + square / fronts, 2.0 * most + square);
-        let mean = (b - (b * b - 4.0 * a * most * most).max(0.0).sqrt()) / (2.0 * a);
-        let part = if budget >= fronts { (budget / fronts).floor() } else { mean.min(budget) / fronts };
-        Duration::from_secs_f64(secs(r.fall_span) / part.max(TINY))
-    }
-
-    /// A server is found to be cold, or doubted. All fronts hear of a start together: each waits for a turn
-    /// of its own. At a doubted one the first may go at once, where a front's part is a whole one a window.
-    pub(super) fn draw_turn(&mut self, server: ServerId) {
-        let chance = self.rng.f64();
-        let Some(s) = self.servers.get(&server) else { return };
-        let (cold, gap) = (self.is_cold(s), self.cold_gap(s));
-        let from = if cold { self.now.max(self.quiet) } else { self.now };
-        let wait = if cold || gap > self.set.rules.fall_span { gap.mul_f64(chance) } else { Duration::ZERO };
-        self.servers.get_mut(&server).expect("looked up above").turn = from + wait;
+        let most = (budget + r.fall_free + r.fall_root * budget.max(0.0).sqrt()).floor();
+        let (fronts, window) = (self.set.fronts.max(1), secs(r.fall_span + LATE));
+        let since = |t: Duration| secs(self.now.saturating_sub(t));
+        if self.counted == Some(None) || self.now < self.quiet || most < 1.0 {
+            return false;
+        }
+        if most >= fronts as f64 {
+            return s.sent.is_none_or(|t| since(t) >= window / (most / fronts as f64).floor());
+        }
+        let Some(number) = self.set.number.filter(|_| self.counted.is_none()) else { return false };
+        let open = secs(r.fall_span) * OPEN;
+        let step = (window + open) / most;
+        let at = (number as u64 + s.entry.key % fronts as u64) as f64 * step;
+        let opened = (secs(self.now + self.ahead) - at).rem_euclid(step * fronts as f64);
+        opened < open && s.sent.is_none_or(|t| since(t) > opened + secs(LATE))
     }
 
     /// Guards a front that dies and comes back against spending anew what its last life spent (rules 4, 6):
@@ -140,27 +138,17 @@
             self.extra.extend(made);
             self.unproven = now + r.span.saturating_sub(before.known);
         }
-        let left = |ran: Duration| self.set.rules.fall_span.saturating_sub(ran);
+        let left = |ran: Duration| (self.set.rules.fall_span.mul_f64(OPEN) + LATE).saturating_sub(ran);
         self.quiet = now + before.ran.map_or(Duration::ZERO, left);
         self.doubt = now + before.late.min(self.set.rules.cold);
     }
 
-    /// Guards cold servers against fronts that reckon with too few others (rule 4). A part shrinks at once,
-    /// and the waits for turns drawn with it; it grows with the next turn. After a while without a count all
-    /// draw anew: turns that went by would fall together. May hurt: uncounted, cold servers get nothing.
+    /// Guards cold servers against fronts that reckon with too few others (rule 4). Parts of those that reckon
+    /// with different numbers sum up to no more; numbers of their own they do not have then. May hurt:
+    /// uncounted, cold servers get nothing.
     pub(super) fn counted(&mut self, fronts: Option<usize>) {
-        let gaps: Vec<_> = self.servers.iter().map(|(id, s)| (*id, secs(self.cold_gap(s)))).collect();
-        let again = self.counted.replace(fronts).flatten().is_none();
+        self.counted = Some(fronts);
         self.set.fronts = fronts.unwrap_or(self.set.fronts);
-        for (id, old) in gaps {
-            let longer = secs(self.cold_gap(&self.servers[&id])) / old.max(TINY);
-            let s = self.servers.get_mut(&id).expect("listed above");
-            if s.turn > self.now {
-                s.turn = self.now + (s.turn - self.now).mul_f64(longer.max(1.0));
-            } else if again && !s.turn.is_zero() {
-                self.draw_turn(id);
-            }
-        }
         self.looked = None;
     }
 
@@ -180,10 +168,7 @@
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.trial = false;
-        if lost && !std::mem::replace(&mut s.lost, true) {
-            self.draw_turn(server);
-        }
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.lost |= lost;
         if now < s.rest_until && s.fails > 0 {
             return; // one trouble, heard of by several sessions
         }
--- a/crates/decisions/src/brain/pick.rs
+++ b/crates/decisions/src/brain/pick.rs
@@ -16,8 +16,7 @@
             && self.holds(call, s)
             && s.rest_until <= self.now
             && (s.fails == 0 || (!s.trial && !class.at_most_once))
-            && ((!self.is_cold(s) && self.doubt <= self.now)
-                || (self.counted != Some(None) && s.turn <= self.now))
+            && ((!self.is_cold(s) && self.doubt <= self.now) || self.has_turn(s))
     }
 
     /// The holder with the most room on link and uplink, and the highest rung that fits there.
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -16,6 +16,8 @@
 pub struct Settings {
     /// How many fronts send into the fleet, this one included.
     pub fronts: usize,
+    /// This front's number among them, from 0; `None`: it has none that all agree on.
+    pub number: Option<usize>,
     /// The classes of sessions, in the order their indices refer to.
     pub classes: Vec<Class>,
     /// The ladder of rates, lowest first.
@@ -105,8 +107,12 @@
     pub cold_from: f64,
     /// A cold server falls over at this multiple of its present capacity...
     pub fall_multiple: f64,
-    /// ...kept up over this span.
+    /// ...kept up over this span...
     pub fall_span: Duration,
+    /// ...with so many set-ups more in it than that multiple gives (N)...
+    pub fall_free: f64,
+    /// ...and so many times the root of N more.
+    pub fall_root: f64,
     /// The ration of further attempts, where there is one.
     pub ration: Option<Ration>,
     /// Without a subscription, how often the list must be asked for (when it is not pushed).
@@ -164,6 +170,8 @@
 pub struct Entry {
     /// Which server.
     pub server: ServerId,
+    /// What all fronts know it by alike; need not differ from others'.
+    pub key: u64,
     /// Its cell.
     pub cell: u64,
     /// Its kind, by index.
@@ -297,6 +305,8 @@
     Heard(Heard),
     /// This front ran before.
     Before(Before),
+    /// The clock that all fronts share is so far ahead of this front's own. Zero until it first comes.
+    Clock(Duration),
     /// Fronts that send into the fleet, this one included, at the most; `None`: nobody can say any more, and this
     /// front has no part of a cold server. Until it first comes, the settings' number holds.
     Counted {
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -137,6 +137,7 @@
         .map(|e| {
             Ok(Entry {
                 server: e.server,
+                key: e.server,
                 cell: e.slot_no,
                 kind: index_of(&names.kinds, &e.class_of_host).unwrap_or(0),
                 weight: e.nominal.unwrap_or(1.0),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 mod upstream;
 mod viewer;
 
+use cloverhollow_net::unix_ms;
 pub use cloverhollow_net::Clock;
 pub use lives::deeds_file;
 
@@ -156,6 +157,8 @@
             let (deaths, hold_ms) = (lives.wait.deaths, lives.wait.hold.as_millis() as u64);
             tracing::warn!(deaths, hold_ms, "died again and again: takes no viewers for a while");
         }
+        let ahead = Duration::from_millis(unix_ms()).saturating_sub(clock.now());
+        let _ = shared.desk.send(desk::Mail::of(Input::Clock(ahead))).await;
         if proven != Trust::First {
             let _ = shared.desk.send(desk::Mail::of(Input::Recovered(Box::new(lives.recovered)))).await;
         }
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -168,6 +168,7 @@
         for (i, address) in all.iter().enumerate() {
             let entry = ServerEntry {
                 id: i as u64 + 1,
+                key: None,
                 address: *address,
                 hall: String::new(),
                 kind: String::new(),
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -163,8 +163,7 @@
         let c = &self.command;
         let mut s = c.settings.clone();
         let seed = self.seed(front, starts);
-        s["instance"] =
-            serde_json::json!({ "name": format!("front-{front}"), "fronts": c.fronts, "seed": seed });
+        s["instance"] = serde_json::json!({ "name": format!("front-{front}"), "fronts": c.fronts, "number": front, "seed": seed });
         let any = SocketAddr::from((c.host, 0)).to_string();
         s["listen"]["address"] = any.as_str().into();
         s["side"] = serde_json::json!({ "address": any });
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -371,6 +371,7 @@
 pub fn entry(s: &crate::model::Server, handle: &ServerHandle, state: WireState) -> ServerEntry {
     ServerEntry {
         id: s.facts.id,
+        key: None,
         address: handle.address(),
         hall: s.facts.hall.clone(),
         kind: s.facts.kind.clone(),
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -10,6 +10,7 @@
 use crate::channel::From;
 use crate::links::{Ended, Heard, Links, Outgoing};
 use crate::mail::{Hold, Mail};
+use crate::whispers::Whispers;
 use bytes::Bytes;
 use cloverhollow::{Brain, ServerId};
 use cloverhollow_net::{unix_ms, Clock};
@@ -23,8 +24,8 @@
 use cloverhollow_platform::viewer::{self, Ask, Wish};
 use cloverhollow_platform::watch::{Down, LinkId, Watch};
 use cloverhollow_session::{
-    Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, OverWhy, RecallWhy, Setup, Sid,
-    ViewerId, WireState,
+    enforce, Answer, AttemptEnd, AttemptId, Command, Core, Input, ListNews, Load, OverWhy, RecallWhy, Setup,
+    Sid, ViewerId, WireState, BROKEN_EXIT,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -39,7 +40,7 @@
 const HANDED_OVER: Duration = Duration::from_secs(10);
 
 pub(crate) type NodeCore = Core<Brain, Ask, String>;
-type In = Input<Ask, String>;
+pub(crate) type In = Input<Ask, String>;
 
 /// What the desk may use.
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +69,8 @@
     /// Until then sessions are handed over that an earlier life set up.
     handed_over: Duration,
     looked: Duration,
+    /// Loads told between session managers, where the platform lets them.
+    pub(crate) whispers: Option<Whispers>,
 }
 
 impl Desk {
@@ -96,6 +99,7 @@
             terminating: None,
             handed_over: Duration::MAX,
             looked: Duration::ZERO,
+            whispers: None,
         }
     }
 
@@ -130,6 +134,9 @@
         loop {
             let inputs = std::mem::take(&mut self.inputs);
             let commands = self.core.step(self.clock.now(), inputs);
+            if !enforce("session core", || self.core.check()) {
+                std::process::exit(BROKEN_EXIT);
+            }
             for command in commands {
                 self.carry_out(command);
             }
@@ -153,6 +160,7 @@
             Mail::Line(link, line) => self.line(link, line),
             Mail::Down(link, down) => self.down(link, down),
             Mail::Told(told) => self.told(told),
+            Mail::Whisper(bytes) => self.whisper(&bytes),
             Mail::Config(config) => self.configured(&config),
             Mail::Terminate => self.terminating = self.terminating.or(Some(self.clock.now())),
         }
--- a/crates/node/src/desk/news.rs
+++ b/crates/node/src/desk/news.rs
@@ -28,9 +28,24 @@
                 before.into_iter().for_each(|server| self.cut(server, Duration::MAX));
             }
         }
+        if let Some(whispers) = &mut self.whispers {
+            whispers.whisper.listed(self.directory.keys());
+        }
         self.inputs.push(Input::List(news));
     }
 
+    /// What the core is told before anything else.
+    pub(crate) fn first(&mut self, input: In) {
+        self.inputs.push(input);
+    }
+
+    /// A datagram of another session manager.
+    pub(super) fn whisper(&mut self, bytes: &[u8]) {
+        let now = self.clock.now();
+        let heard = self.whispers.as_mut().map(|w| w.whisper.heard(now, bytes)).unwrap_or_default();
+        self.inputs.extend(heard.into_iter().map(Input::Heard));
+    }
+
     pub(super) fn configured(&mut self, config: &Config) {
         tracing::info!(channel = %config.channel, "configuration read again");
         self.from.send_modify(|f| f.address = config.channel);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,5 +11,6 @@
 mod listen;
 mod mail;
 mod process;
+mod whispers;
 
 pub use process::{run, NodeError};
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -153,6 +153,8 @@
     Down(LinkId, Down),
     /// An event of the command channel.
     Told(Told),
+    /// A datagram of another session manager.
+    Whisper(Bytes),
     /// The configuration was read again.
     Config(Box<Config>),
     /// The process is to end.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -4,11 +4,12 @@
 use crate::desk::{Bounds, Desk};
 use crate::listen;
 use crate::mail::{Mail, MOST_MAILS};
+use crate::whispers::Whispers;
 use cloverhollow::Brain;
-use cloverhollow_net::Clock;
+use cloverhollow_net::{unix_ms, Clock};
 use cloverhollow_platform::config::{self, Config, ConfigError};
 use cloverhollow_platform::watch::Watch;
-use cloverhollow_session::{ClassTerms, Core, Terms};
+use cloverhollow_session::{ClassTerms, Core, Input, Terms};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,7 +72,10 @@
     println!("{{\"address\":\"{address}\"}}");
     let (mail, mails) = mpsc::channel(MOST_MAILS);
     let (from, heard) = watch::channel(From { address: config.channel, cursor: 0, anew: 0 });
-    let Config { site, seed, room, known, name, .. } = config;
+    let Config { site, seed, room, known, name, peer_listen, peers, .. } = config;
+    let clock = Clock::start();
+    // By the wall clock all session managers reckon their turns alike.
+    let ahead = Duration::from_millis(unix_ms()).saturating_sub(clock.now());
     let longest = site.deadlines.iter().copied().max().unwrap_or_default().max(LONGEST);
     let settings = site.settings.clone();
     let terms = terms(&site);
@@ -79,7 +83,11 @@
     // A server where sessions stand sends a link note on one of them each `told_every`.
     let watch = Watch::new(settings.told_every, site.idle_close, room.sockets / 8);
     let bounds = Bounds { conns: room.sockets / 2, open: room.sockets / 4, open_on_one: room.sockets / 8 };
-    let mut desk = Desk::new(core, Clock::start(), Arc::new(site), watch, bounds, from, mail.clone());
+    let mut desk = Desk::new(core, clock, Arc::new(site), watch, bounds, from, mail.clone());
+    if let Some(listen) = peer_listen {
+        desk.whispers = Whispers::open(listen, &peers, seed, mail.clone()).await;
+    }
+    desk.first(Input::Clock(ahead));
     for told in known {
         desk.told(told);
     }
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -1,7 +1,7 @@
 //! The command channel: numbered events that change the list of video servers.
 
 use cloverhollow::{ListMode, ServerId};
-use cloverhollow_session::{ListNews, ServerEntry, WireState, MOST_SERVERS};
+use cloverhollow_session::{title_id, ListNews, ServerEntry, WireState, MOST_SERVERS};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
@@ -108,6 +108,11 @@
         self.by_name.get(name).copied()
     }
 
+    /// What all session managers call each server alike: a digest of its name.
+    pub fn keys(&self) -> impl Iterator<Item = (ServerId, u64)> + '_ {
+        self.by_name.iter().map(|(name, id)| (*id, title_id(name)))
+    }
+
     /// Takes an event in, at the Unix time `unix_ms`; `None` for one that was told before or that says nothing.
     ///
     /// # Errors
@@ -142,12 +147,14 @@
 
     fn entry(&mut self, e: Endpoint, unix_ms: u64) -> ServerEntry {
         let next = &mut self.next;
+        let key = title_id(&e.name);
         let id = *self.by_name.entry(e.name).or_insert_with(|| {
             *next += 1;
             *next
         });
         ServerEntry {
             id,
+            key: Some(key),
             address: e.address,
             hall: e.zone,
             kind: e.kind,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -21,6 +21,9 @@
     limits: Room,
     channel: SocketAddr,
     known: Value,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
     settings: Value,
 }
 
@@ -39,6 +42,10 @@
     pub channel: SocketAddr,
     /// What the command channel has told before the start.
     pub known: Vec<Told>,
+    /// Where the other session managers' datagrams arrive; `None` where the settings allow none.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where theirs arrive, by their numbers, the own among them.
+    pub peers: Vec<SocketAddr>,
     /// The settings.
     pub site: Site,
 }
@@ -80,5 +87,6 @@
     }
     let known = Directory::known(raw.known).map_err(|e| fault("known", e.to_string()))?;
     let (name, listen, room, channel) = (raw.name, raw.listen, raw.limits, raw.channel);
-    Ok(Config { name, listen, seed, room, channel, known, site })
+    let (peer_listen, peers) = (raw.peer_listen.filter(|_| site.peers), raw.peers);
+    Ok(Config { name, listen, seed, room, channel, known, peer_listen, peers, site })
 }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -20,6 +20,12 @@
     names.iter().position(|n| n == name)
 }
 
+/// A cold server falls when it gets more than N + 3 x root of N + 3 set-ups in the time that the settings name, N being what
+/// they allow it then: the platform's own words, which its settings don't repeat.
+const FALL_FREE: f64 = 3.0;
+/// See above.
+const FALL_ROOT: f64 = 3.0;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireSetup {
@@ -31,6 +37,7 @@
     domain: WireDomain,
     #[serde(default)]
     grades: Vec<WireGrade>,
+    index: Option<f64>,
     #[serde(default)]
     invariants: WireRules,
     #[serde(default)]
@@ -101,6 +108,7 @@
     max_retry_after: f64,
     most_tries: f64,
     retry_after: bool,
+    peers: bool,
 }
 
 #[derive(Deserialize)]
@@ -137,6 +145,8 @@
     pub connect_timeout: Duration,
     /// An idle connection is closed after this; zero: not told.
     pub idle_close: Duration,
+    /// Session managers may send each other datagrams.
+    pub peers: bool,
 }
 
 /// Reads the settings of one instance.
@@ -146,6 +156,7 @@
 pub fn read(value: serde_json::Value) -> Result<Site, String> {
     let w: WireSetup =
         serde_path_to_error::deserialize(value).map_err(|e| format!("`{}`: {}", e.path(), e.inner()))?;
+    let peers = w.limits.peers;
     let (connect_timeout, idle_close) = (span(w.limits.connect_timeout), span(w.limits.idle_close));
     let d = w.domain;
     let at = |list: &[f64], i: usize| list.get(i).copied();
@@ -164,6 +175,7 @@
     let r = w.invariants;
     let settings = Settings {
         fronts: whole(w.balancers),
+        number: w.index.map(whole),
         classes: w.grades.iter().enumerate().map(class).collect(),
         ladder: rungs.map(|(i, &rate)| Rung { rate, worth: at(&d.ladder_worth, i).unwrap_or(0.0) }).collect(),
         tenants: w.tenants.iter().map(|t| Tenant { quota: t.quota_per_s }).collect(),
@@ -186,6 +198,8 @@
             cold_from: r.cold_from,
             fall_multiple: r.fall_multiple,
             fall_span: span(r.fall),
+            fall_free: FALL_FREE,
+            fall_root: FALL_ROOT,
             ration: r.budget_span.map(|s| Ration {
                 free: r.budget_free.unwrap_or(0.0),
                 share: r.extra_share.unwrap_or(0.0),
@@ -202,5 +216,5 @@
         kinds: w.kinds,
         zone: w.zone,
     };
-    Ok(Site { settings, names, deadlines, connect_timeout, idle_close })
+    Ok(Site { settings, names, deadlines, connect_timeout, idle_close, peers })
 }
--- a/crates/record/src/forms.rs
+++ b/crates/record/src/forms.rs
@@ -78,6 +78,8 @@
     state: Listed,
     started: Duration,
     #[serde(default)]
+    key: u64,
+    #[serde(default)]
     far: bool,
 }
 
@@ -124,6 +126,7 @@
     Timer(u64),
     Heard(#[serde(with = "HeardForm")] Heard),
     Before(#[serde(with = "BeforeForm")] Before),
+    Clock(Duration),
     Counted {
         fronts: Option<usize>,
     },
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -11,6 +11,7 @@
 //! outcome; [`Command::Answer`] goes to whoever waits.
 
 pub mod arrival;
+mod broken;
 mod core;
 mod gauge;
 mod held;
@@ -25,6 +26,9 @@
 mod types;
 
 pub use crate::core::{Core, Tap};
+pub use broken::{enforce, Broken, BROKEN_EXIT};
+/// A name as a number, equal on all fronts.
+pub use cloverhollow_settings::title_id;
 pub use gauge::Gauge;
 pub use learn::Shelf;
 pub use list::{
--- a/crates/session/src/list.rs
+++ b/crates/session/src/list/mod.rs
@@ -1,5 +1,12 @@
 //! The server list: discovery's messages, their order, and what is kept for the next start.
 
+mod feed;
+mod saved;
+
+pub use feed::{Feed, FeedError, ListMessage, ListNews, MessageKind};
+pub use saved::SavedList;
+
+use crate::broken::{hold, Broken};
 use crate::terms::Terms;
 use cloverhollow::{Entry, ListMode, Listed, ServerId};
 use serde::{Deserialize, Serialize};
@@ -29,6 +36,9 @@
 pub struct ServerEntry {
     /// Its id: the same at every front, and the same when its process restarts.
     pub id: ServerId,
+    /// What all fronts know it by alike, where `id` is this front's own number of it; absent: `id`.
+    #[serde(skip)]
+    pub key: Option<u64>,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its hall.
@@ -57,138 +67,6 @@
     1.0
 }
 
-/// What a message holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum MessageKind {
-    /// All servers; what is missing is gone.
-    Whole,
-    /// Servers that changed since version `after`.
-    Patch,
-}
-
-/// A message of discovery: the data of one event of its stream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListMessage {
-    /// What it holds.
-    pub kind: MessageKind,
-    /// Version of the list that it leads to.
-    pub version: u64,
-    /// Version that a patch goes out from.
-    #[serde(default)]
-    pub after: u64,
-    /// The servers.
-    pub servers: Vec<ServerEntry>,
-}
-
-/// News as the core takes it, in order and without gaps.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListNews {
-    /// How the entries are to be read.
-    pub mode: ListMode,
-    /// Version of the list.
-    pub version: u64,
-    /// The entries.
-    pub entries: Vec<ServerEntry>,
-}
-
-impl ListNews {
-    /// The stream broke or could not be had: the list stays as it was.
-    pub fn broken() -> Self {
-        ListNews { mode: ListMode::Broken, version: 0, entries: Vec::new() }
-    }
-}
-
-/// Why a message cannot be used. The stream is asked for again, from the start.
-#[derive(Debug, thiserror::Error, PartialEq, Eq)]
-#[allow(missing_docs)] // the messages say it
-pub enum FeedError {
-    #[error("a patch after version {after}, and {known:?} is known")]
-    Gap { after: u64, known: Option<u64> },
-    #[error("version {version} after {known}")]
-    Backwards { version: u64, known: u64 },
-    #[error("more than {MOST_SERVERS} servers")]
-    TooMany,
-    #[error("a server with a weight that is no positive number")]
-    Weight,
-    #[error("not a message: {0}")]
-    Syntax(String),
-}
-
-/// Puts messages of one stream in order. A stream that is asked for anew gets a new feed, which begins with
-/// a whole list: patches of two streams never mix.
-#[derive(Debug, Default)]
-pub struct Feed {
-    known: Option<u64>,
-}
-
-impl Feed {
-    /// Reads the data of one event.
-    ///
-    /// # Errors
-    /// It is malformed, or out of order.
-    pub fn read(&mut self, data: &str) -> Result<ListNews, FeedError> {
-        let message: ListMessage =
-            serde_json::from_str(data).map_err(|e| FeedError::Syntax(e.to_string()))?;
-        if message.servers.len() > MOST_SERVERS {
-            return Err(FeedError::TooMany);
-        }
-        if message.servers.iter().any(|s| !s.weight.is_finite() || s.weight <= 0.0) {
-            return Err(FeedError::Weight);
-        }
-        let mode = match (message.kind, self.known) {
-            (MessageKind::Whole, _) => ListMode::Whole,
-            (MessageKind::Patch, Some(known)) if known == message.after => ListMode::Patch,
-            (MessageKind::Patch, known) => return Err(FeedError::Gap { after: message.after, known }),
-        };
-        if let Some(known) = self.known.filter(|k| message.version <= *k && mode == ListMode::Patch) {
-            return Err(FeedError::Backwards { version: message.version, known });
-        }
-        self.known = Some(message.version);
-        Ok(ListNews { mode, version: message.version, entries: message.servers })
-    }
-}
-
-/// The last list as it is kept on disk: the stale copy of the next start.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct SavedList {
-    /// Version of this format.
-    pub format: u32,
-    /// Version of the list.
-    pub version: u64,
-    /// All servers, ages as of the saving.
-    pub servers: Vec<ServerEntry>,
-}
-
-impl SavedList {
-    /// The format that this program writes and reads.
-    pub const FORMAT: u32 = 1;
-
-    /// Reads a file's text.
-    ///
-    /// # Errors
-    /// In words, why it cannot be trusted; the file is then set aside.
-    pub fn read(text: &str) -> Result<SavedList, String> {
-        let saved: SavedList = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        if saved.format != Self::FORMAT {
-            return Err(format!("format {} and not {}", saved.format, Self::FORMAT));
-        }
-        if saved.servers.len() > MOST_SERVERS {
-            return Err(FeedError::TooMany.to_string());
-        }
-        Ok(saved)
-    }
-
-    /// As news at a start. How long ago it was saved is not known (clocks jump): a server that was cold when
-    /// it was saved counts as started now, the careful way; the next list tells better.
-    pub fn news(mut self, cold: Duration) -> ListNews {
-        for s in &mut self.servers {
-            s.started_ms_ago = s.started_ms_ago.filter(|ms| Duration::from_millis(*ms) < cold).map(|_| 0);
-        }
-        ListNews { mode: ListMode::Stale, version: self.version, entries: self.servers }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Known {
     entry: ServerEntry,
@@ -229,7 +107,17 @@
                 known.entry.state = WireState::Gone;
             }
         }
+        let mut there = self.servers.values().filter(|k| k.entry.state != WireState::Gone).count();
+        let mut left_out = 0;
         for e in &news.entries {
+            // Guards against a list that grows by patches without end: each message is bounded, their sum is not.
+            let was = self.servers.get(&e.id).is_some_and(|k| k.entry.state != WireState::Gone);
+            let is = e.state != WireState::Gone;
+            if is && !was && there >= MOST_SERVERS {
+                left_out += 1;
+                continue;
+            }
+            there = there + usize::from(is) - usize::from(was);
             let started = self.started(now, e);
             let before = self.servers.insert(e.id, Known { entry: e.clone(), started });
             let served = before.is_some_and(|k| k.entry.state == WireState::Serving);
@@ -238,6 +126,7 @@
             }
             out.entries.push(Entry {
                 server: e.id,
+                key: e.key.unwrap_or(e.id),
                 cell: e.cell,
                 kind: terms.kind(&e.kind),
                 weight: e.weight,
@@ -250,6 +139,9 @@
                 far: e.hall != terms.hall,
             });
         }
+        if left_out > 0 {
+            tracing::warn!(left_out, most = MOST_SERVERS, "more servers than a list may hold");
+        }
         out
     }
 
@@ -297,6 +189,17 @@
         self.servers.values().filter(|k| k.entry.state == WireState::Serving).count()
     }
 
+    /// Whether a server takes new work.
+    pub(crate) fn serves(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|k| k.entry.state == WireState::Serving)
+    }
+
+    /// Servers that are there are bounded; those that are gone stay while a session is there.
+    pub(crate) fn check(&self, sessions: usize) -> Result<(), Broken> {
+        let (held, most) = (self.servers.len(), MOST_SERVERS + sessions);
+        hold(held <= most, || Broken::List { held, most })
+    }
+
     /// Version of the last list.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/session/src/lives.rs
+++ b/crates/session/src/lives.rs
@@ -1,11 +1,12 @@
 //! What this front's lives know of each other: paid sessions that may have run, drains on the paper, what servers
 //! still hold for the last one.
 
+use crate::broken::{hold, Broken};
 use crate::list::{ListNews, WireState};
 use crate::terms::MemoryTerms;
 use crate::types::Reason;
 use cloverhollow::{Heard, ListMode, ServerId};
-use cloverhollow_recovery::ledger::Held;
+use cloverhollow_recovery::ledger::{Bounds, Held};
 use cloverhollow_recovery::{digest, Deed, Paid, Recovered};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -30,6 +31,18 @@
     left_over: Vec<Held>,
 }
 
+/// Puts a server into a set that the paper's bound bounds; whether it is new. Guards against months in which servers
+/// come, each with an id of its own, and stop or fail for good. Whatever goes for it may be written down once more, and
+/// is not taken back on the paper: both are the careful way.
+fn insert(set: &mut BTreeSet<ServerId>, server: ServerId) -> bool {
+    let new = set.insert(server);
+    if set.len() > Bounds::default().stopped {
+        let other = set.iter().copied().find(|s| *s != server);
+        other.map(|s| set.remove(&s));
+    }
+    new
+}
+
 impl Lives {
     pub(crate) fn new(terms: Option<&MemoryTerms>) -> Self {
         Lives {
@@ -64,6 +77,22 @@
         }
     }
 
+    /// Whether it is known that a paid session may have run; those past the bound are forgotten.
+    pub(crate) fn remembers_paid(&self, sid: &str) -> bool {
+        self.most.is_none_or(|most| self.spent.has(digest(sid)) || self.spent.iter().len() >= most)
+    }
+
+    /// What is kept of all lives is bounded.
+    pub(crate) fn check(&self) -> Result<(), Broken> {
+        let bound = |what, held, most| hold(held <= most, || Broken::Lives { what, held, most });
+        bound("paid sessions", self.spent.iter().len(), self.most.unwrap_or(0))?;
+        let most = Bounds::default();
+        bound("servers that take no new work", self.stopped.len(), most.stopped)?;
+        bound("servers that failed", self.failed.len(), most.stopped)?;
+        bound("servers to be told of", self.untold.len(), most.stopped)?;
+        bound("sessions left over", self.left_over.len(), most.held)
+    }
+
     /// Why a session cannot be set up, as far as other sessions and lives tell. Rule 2: one of which it is not
     /// certain that it never ran is not; nor one of which it cannot be told, after a start that proves nothing.
     pub(crate) fn bars(&self, now: Duration, sid: &str, paid: bool) -> Option<Reason> {
@@ -101,7 +130,7 @@
             }
         }
         for server in stopped.iter().copied() {
-            if self.stopped.insert(server) {
+            if insert(&mut self.stopped, server) {
                 deeds.push(Deed::Listed { server, serves: false });
             }
         }
@@ -111,7 +140,7 @@
     /// How an attempt at a server ended, or a session there: what is to be taken down of it.
     pub(crate) fn behaved(&mut self, server: ServerId, worked: bool) -> Option<Deed> {
         self.most?;
-        let changed = if worked { self.failed.remove(&server) } else { self.failed.insert(server) };
+        let changed = if worked { self.failed.remove(&server) } else { insert(&mut self.failed, server) };
         changed.then_some(Deed::Failed { server, failed: !worked })
     }
 
--- a/crates/session/tests/common/mod.rs
+++ b/crates/session/tests/common/mod.rs
@@ -39,6 +39,7 @@
 pub fn server(id: u64, state: WireState) -> ServerEntry {
     ServerEntry {
         id,
+        key: None,
         address: ([127, 0, 0, 1], 9000 + id as u16).into(),
         hall: String::new(),
         kind: String::new(),
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -60,13 +60,22 @@
     pub hall: Name,
     /// How many fronts send into the fleet, this one included; 1 to 10,000. Default 1.
     pub fronts: Num<1, 10_000>,
+    /// Its number among them, from 0, another at each: by it they take turns at cold servers where not all may send at once.
+    /// Left out: it has no turn then. Default none.
+    pub number: Option<Num<0, 9_999>>,
     /// Seed of the decisions' random numbers; 0: a new one at each start. Default 0.
     pub seed: Num<0, 9_007_199_254_740_991>,
 }
 
 impl Default for Instance {
     fn default() -> Self {
-        Instance { name: Name::of("front-1"), hall: Name::of("hall-1"), fronts: Num::of(1), seed: Num::of(0) }
+        Instance {
+            name: Name::of("front-1"),
+            hall: Name::of("hall-1"),
+            fronts: Num::of(1),
+            number: None,
+            seed: Num::of(0),
+        }
     }
 }
 
@@ -599,6 +608,8 @@
     pub fall_multiple: Real<100, 100_000>,
     /// ...kept up over this span; 1 ms to a minute. Default 1 s.
     pub fall_ms: Ms<1, MINUTE>,
+    /// So many set-ups more in that span than the multiple gives make it fall; 0 to 1,000. Default 1.
+    pub fall_slack: Real<0, 1_000>,
     /// The budget of further attempts; absent: none. Default none.
     pub ration: Option<Ration>,
 }
@@ -611,6 +622,7 @@
             cold_from: Real::of(0.4),
             fall_multiple: Real::of(2.0),
             fall_ms: Ms::of(1_000),
+            fall_slack: Real::of(1.0),
             ration: None,
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -208,6 +208,7 @@
         let r = &self.rules;
         cloverhollow::Settings {
             fronts: self.instance.fronts.count(),
+            number: self.instance.number.map(|n| n.count()),
             classes: self.classes.0.iter().map(class).collect(),
             ladder: (self.ladder.0.iter())
                 .map(|r| cloverhollow::Rung { rate: r.rate_kb.get(), worth: r.worth.get() })
@@ -232,6 +233,8 @@
                 cold_from: r.cold_from.get(),
                 fall_multiple: r.fall_multiple.get(),
                 fall_span: r.fall_ms.get(),
+                fall_free: r.fall_slack.get(),
+                fall_root: 0.0,
                 ration: r.ration.as_ref().map(|r| cloverhollow::Ration {
                     free: r.free.get() as f64,
                     share: r.share.get(),
