--- a/crates/decisions/src/brain/news.rs
+++ b/crates/decisions/src/brain/news.rs
@@ -98,13 +98,13 @@
         s.lost || s.cold_since.is_some_and(|t| t + self.set.rules.cold > self.now)
     }
 
-    /// Rule 4: whether one more set-up of this front may go to a cold server now, taking it for no warmer than
-    /// at its start. `most`: what a window holds under the line at which it falls.
+    /// Rule 4: whether one more set-up of this front may go to a cold server now, taking it for no warmer
+    /// than at its start. `most`: what a window holds under the line at which it falls.
     ///
-    /// Where that is one a front or more, each sends its part, evenly spaced. Else fronts take turns that all
-    /// reckon alike, by the clock, their number and the server's key: one opens each `step` and stays open for a
-    /// while, for one set-up. Those that touch a window, with what is late on its way, are `most`. Who does not
-    /// know its number has no turn then. May hurt: a turn that finds no request goes by.
+    /// Where that is one a front or more, each sends its part, evenly spaced. Else fronts take turns that
+    /// all reckon alike, by the clock, their number and the server's key: one opens each `step` and stays
+    /// open for a while, for one set-up. Those that touch a window, with what is late on its way, are
+    /// `most`. Who has no number has no turn then. May hurt: a turn that finds no request goes by.
     pub(super) fn has_turn(&self, s: &Server) -> bool {
         let r = &self.set.rules;
         let streams = self.set.streams_by_kind.get(s.entry.kind).copied().unwrap_or(1.0);
@@ -143,9 +143,9 @@
         self.doubt = now + before.late.min(self.set.rules.cold);
     }
 
-    /// Guards cold servers against fronts that reckon with too few others (rule 4). Parts of those that reckon
-    /// with different numbers sum up to no more; numbers of their own they do not have then. May hurt:
-    /// uncounted, cold servers get nothing.
+    /// Guards cold servers against fronts that reckon with too few others (rule 4). Parts of those that
+    /// reckon with different numbers sum up to no more; numbers of their own they do not have then. May
+    /// hurt: uncounted, cold servers get nothing.
     pub(super) fn counted(&mut self, fronts: Option<usize>) {
         self.counted = Some(fronts);
         self.set.fronts = fronts.unwrap_or(self.set.fronts);
