--- /dev/null
+++ b/crates/forecast/src/course.rs
@@ -0,0 +1,133 @@
+//! The course of a session in a play: it comes, is sent, plays, ends or is refused.
+
+use crate::play::{Live, Run, What, EPOCH};
+use crate::world::{Part, SetUp};
+use crate::Limiting;
+use cloverhollow::{Action, Call, Event, Note, Outcome, Report, RequestId, ServerId};
+use rand::RngExt;
+use std::time::Duration;
+
+impl Run<'_> {
+    pub fn comes(&mut self, now: Duration, i: usize) {
+        let w = &self.wanted[i];
+        let title = self.titles.get(&w.title).copied();
+        let front = self.cast.pick(w.hall, &mut self.rng);
+        let (Some(title), Some(front)) = (title, front) else {
+            let worth = self.out.refused(self.stage.settings, w, now - EPOCH);
+            *self.out.came.blame.entry(Limiting::Title(w.title)).or_default() += worth;
+            return;
+        };
+        self.requests += 1;
+        let id = self.requests;
+        let call = Call {
+            request: id,
+            title: w.title,
+            class: w.class,
+            tenant: w.tenant,
+            top: self.stage.settings.classes.get(w.class).map_or(0, |c| c.top),
+            first_cell: title.first_cell,
+            cells: title.cells,
+            deadline: now + self.stage.manner.waits,
+            again: false,
+        };
+        let live = Live { wanted: i, front, came: now - EPOCH, rung: 0, attempts: 0, at: None };
+        self.live.insert(id, live);
+        self.tell(front, Event::Call(call));
+    }
+
+    pub fn arrives(&mut self, now: Duration, id: RequestId, attempt: u32, server: ServerId) {
+        let Some(s) = self.live.get(&id) else { return };
+        let w = &self.wanted[s.wanted];
+        let (part, front) = (Part { title: w.title, class: w.class, rung: s.rung }, s.front);
+        let until = EPOCH + w.until;
+        match self.world.set_up(now, server, front, id, part) {
+            SetUp::NoServer => self.ended(id, attempt, server, Outcome::ConnectFailed, false),
+            SetUp::Full => self.ended(id, attempt, server, Outcome::Full, false),
+            SetUp::Plays => {
+                let many = self.cast.fronts[front].stands_for;
+                let which = self.rng.random_range(0..many.max(1));
+                let crosses = self.world.lanes.get(&server).is_some_and(|l| l.hall != w.hall);
+                self.out.plays(front, which, server, crosses);
+                if let Some(s) = self.live.get_mut(&id) {
+                    s.at = Some(server);
+                }
+                self.tell(front, Event::Playing(id, attempt, server, Duration::ZERO));
+                if !self.stage.settings.told_every.is_zero() {
+                    let link = self.world.link(now, server);
+                    self.tell(front, Event::Note(id, server, Note::Link(link)));
+                }
+                self.plan(until.max(now), What::Ends(id));
+            }
+        }
+    }
+
+    pub fn ended(&mut self, id: RequestId, attempt: u32, server: ServerId, how: Outcome, over: bool) {
+        let Some(s) = self.live.get(&id) else { return };
+        let front = s.front;
+        self.tell(front, Event::Ended(id, attempt, server, how, over, Report::default()));
+    }
+
+    /// A session is over; the front hears how the link is.
+    pub fn ends(&mut self, id: RequestId) {
+        let Some(s) = self.live.remove(&id) else { return };
+        let w = &self.wanted[s.wanted];
+        let Some(server) = s.at else { return };
+        self.world.end(server, s.front, id, Part { title: w.title, class: w.class, rung: s.rung });
+        let over =
+            Event::Ended(id, s.attempts.saturating_sub(1), server, Outcome::Ok, true, Report::default());
+        self.tell(s.front, over);
+    }
+
+    pub fn does(&mut self, now: Duration, front: usize, action: Action) {
+        match action {
+            Action::Send(id, server, within) => {
+                let Some(s) = self.live.get_mut(&id) else { return };
+                let attempt = s.attempts;
+                s.attempts += 1;
+                let manner = self.stage.manner;
+                let takes = manner.setup.mul_f64(1.0 + manner.uneven * self.rng.random::<f64>());
+                match takes <= within {
+                    true => self.plan(now + takes, What::Arrives(id, attempt, server)),
+                    false => self.plan(now + within, What::Late(id, attempt, server)),
+                }
+            }
+            Action::Rung(id, rung) => {
+                let Some(s) = self.live.get_mut(&id) else { return };
+                let w = &self.wanted[s.wanted];
+                let part = Part { title: w.title, class: w.class, rung: s.rung };
+                s.rung = rung;
+                if let Some(server) = s.at {
+                    self.world.rung(server, part, rung);
+                }
+            }
+            Action::Refuse(id, _) | Action::Fail(id) => self.refused(id),
+            Action::Timer(after, token) => self.plan(now + after, What::Timer(front, token)),
+            Action::Subscribe => {
+                let list = self.cast.list(front, self.layout, &self.news);
+                self.tell(front, list);
+            }
+            _ => {}
+        }
+    }
+
+    /// The worth goes to what stood in the way: of each holder its link or its uplink, the fuller one.
+    fn refused(&mut self, id: RequestId) {
+        let Some(s) = self.live.remove(&id) else { return };
+        let w = &self.wanted[s.wanted];
+        let worth = self.out.refused(self.stage.settings, w, s.came);
+        let title = self.titles.get(&w.title);
+        let holders = title.map_or(Vec::new(), |t| self.layout.holders(t, self.stage.settings.cells));
+        let there: Vec<_> = holders.iter().filter(|h| !self.news.gone.contains(h)).collect();
+        if there.is_empty() {
+            *self.out.came.blame.entry(Limiting::Title(w.title)).or_default() += worth;
+        }
+        for holder in &there {
+            let link = self.loads.links.get(holder).copied().unwrap_or(0.0);
+            let what = match self.world.uplink(&self.loads, **holder) {
+                Some((rack, up)) if up > link => Limiting::Uplink(rack),
+                _ => Limiting::Link(**holder),
+            };
+            *self.out.came.blame.entry(what).or_default() += worth / there.len() as f64;
+        }
+    }
+}
--- a/crates/forecast/src/types.rs
+++ b/crates/forecast/src/types.rs
@@ -120,8 +120,14 @@
     pub cold_setups: Likely,
     /// See above.
     pub cold_seconds: Likely,
+    /// Worth served, of all that was asked: what was given at the rungs in force, cut where links were short.
+    pub served: Likely,
     /// No routing serves more worth than this, of all that was asked.
     pub most_served: f64,
+    /// The minutes of the day that it is of: the busiest ones.
+    pub span: (u32, u32),
+    /// What worth was refused at, the most first: what limits, if anything does.
+    pub limiting: Option<Limiting>,
 }
 
 /// What to do with a layout.
@@ -136,7 +142,7 @@
 }
 
 /// The link that limits, and what would help.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Limiting {
     /// A server's link.
     Link(u64),
@@ -163,4 +169,34 @@
     pub helps: Option<String>,
     /// What the layout itself costs.
     pub at_end: Foretold,
+    /// What the layout that holds costs, on the same days.
+    pub as_is: Foretold,
+    /// Each wave on the way, in order.
+    pub waves: Vec<Wave>,
+    /// The change that [`Verdict::helps`] tells in words.
+    pub change: Option<Change>,
+    /// Why, in words.
+    pub reasons: Vec<String>,
+}
+
+/// One wave on the way: its servers start anew, cold, at the begin of the busiest minutes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Wave {
+    /// Servers that it changes.
+    pub servers: Vec<u64>,
+    /// What it costs.
+    pub costs: Foretold,
+    /// The same with one hall lost in the middle of those minutes, by hall.
+    pub lost: BTreeMap<usize, Foretold>,
+}
+
+/// A change of a layout that would help.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// That server's weight times so much.
+    Widen(u64, f64),
+    /// That rack's uplink times so much.
+    Uplink(usize, f64),
+    /// That title on so many cells more.
+    Spread(u64, u64),
 }
