--- /dev/null
+++ b/crates/lab/src/foretold/mod.rs
@@ -0,0 +1,68 @@
+//! Layouts foretold, and what came: how good [`cloverhollow_forecast`] is.
+//!
+//! [`process`] draws fleets and the process that their days come from; days are recorded as fronts record them; the
+//! forecast sees the record alone. [`truth`] plays the day after, of the same process, by a module for each front.
+//! [`textbook`] is what one does without: sums of mean demand over weights. [`score`] holds them side by side.
+
+mod big;
+mod process;
+mod score;
+mod textbook;
+mod truth;
+
+pub use big::{big, Big};
+pub use process::{Fleet, Process};
+pub use score::{Outcome, Scores};
+
+use cloverhollow_forecast::{assess, Advice, Asking, Bars, Fault, Manner, Plan, Record};
+use std::time::Duration;
+
+/// Minutes that a forecast looks at.
+const MINUTES: u32 = 20;
+
+/// How the forecast plays. Truth has other manners ([`truth`]).
+fn plan(seed: u64) -> Plan {
+    Plan {
+        manner: Manner {
+            modules: 16,
+            setup: Duration::from_millis(150),
+            uneven: 0.0,
+            all_notes: false,
+            waits: Duration::from_secs(8),
+        },
+        minutes: MINUTES,
+        plays: 12,
+        few: 2,
+        most_sessions: 160_000,
+        lasts: Duration::from_secs(3_600),
+        seed,
+    }
+}
+
+/// Draws one fleet and its days, foretells its layout, plays the day after.
+pub fn one(seed: u64) -> Result<Outcome, Fault> {
+    let fleet = Fleet::draw(seed);
+    let process = Process::draw(&fleet, seed);
+    let demand = process.record(&fleet, seed);
+    let plan = plan(seed.wrapping_mul(31).wrapping_add(7));
+    let record = Record::default();
+    let steps = [fleet.before.clone(), fleet.layout.clone()];
+    let asking = Asking {
+        settings: &fleet.settings,
+        steps: &steps,
+        demand: &demand,
+        now: demand.until,
+        record: &record,
+        bars: Bars::default(),
+        plan: &plan,
+    };
+    let begun = std::time::Instant::now();
+    let verdict = assess(&asking)?;
+    let took = begun.elapsed();
+    let span = verdict.at_end.span;
+    let wanted = process.truth(&fleet, seed);
+    let came = truth::play(&fleet, &wanted, span, seed);
+    let book = textbook::foretell(&fleet, &demand, span);
+    let takes = verdict.advice != Advice::Dont;
+    Ok(Outcome::of(seed, &fleet, &verdict, takes, &came, &book, took))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 //!   [`score`]: worth served over worth asked.
 //! - [`hunt`]: days drawn from seeds and played in numbers; what breaks a rule is shrunk.
 //! - [`wires`]: ways between processes that can be cut, delayed and reset; [`members`]: fleets of members over them.
+//! - [`foretold`]: layouts foretold, and what came.
 //! - [`bench`]: measures of a front as a process.
 //! - [`policies`]: baselines, and fronts broken on purpose, by which each checker is shown to fail.
 
@@ -15,6 +16,7 @@
 pub mod day;
 pub mod exchange;
 pub mod fleet;
+pub mod foretold;
 pub mod fronts;
 pub mod hunt;
 pub mod members;
