--- a/crates/forecast/src/cast.rs
+++ b/crates/forecast/src/cast.rs
@@ -1,7 +1,7 @@
-//! The fronts of a play: a module for each, or one for several of the same hall.
+//! The fronts of a play: a module for each, or for a part of them.
 
 use crate::Layout;
-use cloverhollow::{Action, Brain, Class, Entry, Event, ListMode, Listed, Ration, Settings};
+use cloverhollow::{Action, Brain, Entry, Event, ListMode, Listed, Settings};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
@@ -21,8 +21,8 @@
 }
 
 impl Cast {
-    /// At most so many modules. One that stands for several takes their calls, and what is counted for each
-    /// front (seats, rations) is theirs together.
+    /// At most so many modules, each a front of the whole fleet. One of several also stands for the others of its
+    /// hall, which are not played.
     pub fn new(set: &Settings, layout: &Layout, most: usize, rng: &mut ChaCha8Rng) -> Self {
         let mut by_hall = vec![0usize; layout.serves.len()];
         for hall in &layout.fronts {
@@ -34,15 +34,10 @@
             let k = ((n as f64 * part).round() as usize).clamp(1, n);
             groups.extend((0..k).map(|i| (hall, n / k + usize::from(i < n % k))));
         }
-        let fronts = groups.len();
+        let set = Settings { fronts: layout.fronts.len(), list_pushed: true, ..set.clone() };
         let make = |(hall, n): (usize, usize)| {
-            let many = n as f64;
-            let classes =
-                set.classes.iter().map(|c| Class { seats: c.seats * n, ..c.clone() }).collect::<Vec<_>>();
-            let mut rules = set.rules;
-            rules.ration = rules.ration.map(|r| Ration { free: r.free * many, ..r });
-            let set = Settings { fronts, classes, rules, list_pushed: true, ..set.clone() };
-            Front { hall, stands_for: n, brain: Some(Brain::new(set, rng.random())) }
+            let brain = Brain::new(set.clone(), rng.random());
+            Front { hall, stands_for: n, brain: Some(brain) }
         };
         Cast { fronts: groups.into_iter().map(make).collect(), serves: layout.serves.clone() }
     }
--- a/crates/forecast/src/course.rs
+++ b/crates/forecast/src/course.rs
@@ -1,8 +1,9 @@
 //! The course of a session in a play: it comes, is sent, plays, ends or is refused.
 
+use crate::follow::{key, FOLLOWERS};
 use crate::play::{Live, Run, What, EPOCH};
 use crate::world::{Part, SetUp};
-use crate::Limiting;
+use crate::{LaidTitle, Limiting};
 use cloverhollow::{Action, Call, Event, Note, Outcome, Report, RequestId, ServerId};
 use rand::RngExt;
 use std::time::Duration;
@@ -17,6 +18,16 @@
             *self.out.came.blame.entry(Limiting::Title(w.title)).or_default() += worth;
             return;
         };
+        let many = self.cast.fronts[front].stands_for;
+        if many > 1 && self.rng.random_range(0..many) > 0 && self.follows(now, i, &title, front) {
+            return;
+        }
+        self.calls(now, i, &title, front);
+    }
+
+    /// A call reaches a front that is played.
+    fn calls(&mut self, now: Duration, i: usize, title: &LaidTitle, front: usize) {
+        let w = &self.wanted[i];
         self.requests += 1;
         let id = self.requests;
         let call = Call {
@@ -30,7 +41,8 @@
             deadline: now + self.stage.manner.waits,
             again: false,
         };
-        let live = Live { wanted: i, front, came: now - EPOCH, rung: 0, attempts: 0, at: None };
+        let live =
+            Live { wanted: i, front, came: now - EPOCH, rung: 0, attempts: 0, at: None, follows: false };
         self.live.insert(id, live);
         self.tell(front, Event::Call(call));
     }
@@ -39,20 +51,29 @@
         let Some(s) = self.live.get(&id) else { return };
         let w = &self.wanted[s.wanted];
         let (part, front) = (Part { title: w.title, class: w.class, rung: s.rung }, s.front);
+        let (follows, i) = (s.follows, s.wanted);
         let until = EPOCH + w.until;
-        match self.world.set_up(now, server, front, id, part) {
+        match self.world.set_up(now, server, if follows { FOLLOWERS } else { front }, id, part) {
+            SetUp::NoServer | SetUp::Full if follows => {
+                self.live.remove(&id);
+                if let Some(title) = self.titles.get(&w.title).copied().filter(|_| self.cast.alive(front)) {
+                    self.calls(now, i, &title, front);
+                }
+            }
             SetUp::NoServer => self.ended(id, attempt, server, Outcome::ConnectFailed, false),
             SetUp::Full => self.ended(id, attempt, server, Outcome::Full, false),
             SetUp::Plays => {
                 let many = self.cast.fronts[front].stands_for;
-                let which = self.rng.random_range(0..many.max(1));
+                let which = if follows { self.rng.random_range(1..many.max(2)) } else { 0 };
                 let crosses = self.world.lanes.get(&server).is_some_and(|l| l.hall != w.hall);
                 self.out.plays(front, which, server, crosses);
                 if let Some(s) = self.live.get_mut(&id) {
                     s.at = Some(server);
                 }
-                self.tell(front, Event::Playing(id, attempt, server, Duration::ZERO));
-                if !self.stage.settings.told_every.is_zero() {
+                if !follows {
+                    self.tell(front, Event::Playing(id, attempt, server, Duration::ZERO));
+                }
+                if !follows && !self.stage.settings.told_every.is_zero() {
                     let link = self.world.link(now, server);
                     self.tell(front, Event::Note(id, server, Note::Link(link)));
                 }
@@ -72,7 +93,11 @@
         let Some(s) = self.live.remove(&id) else { return };
         let w = &self.wanted[s.wanted];
         let Some(server) = s.at else { return };
-        self.world.end(server, s.front, id, Part { title: w.title, class: w.class, rung: s.rung });
+        let part = Part { title: w.title, class: w.class, rung: s.rung };
+        self.world.end(server, if s.follows { FOLLOWERS } else { s.front }, id, part);
+        if s.follows {
+            return;
+        }
         let over =
             Event::Ended(id, s.attempts.saturating_sub(1), server, Outcome::Ok, true, Report::default());
         self.tell(s.front, over);
@@ -84,6 +109,10 @@
                 let Some(s) = self.live.get_mut(&id) else { return };
                 let attempt = s.attempts;
                 s.attempts += 1;
+                let (w, rung) = (&self.wanted[s.wanted], s.rung);
+                if let Some(title) = self.titles.get(&w.title) {
+                    self.leaders.led(now, key(title, w.class), Some((server, rung)));
+                }
                 let manner = self.stage.manner;
                 let takes = manner.setup.mul_f64(1.0 + manner.uneven * self.rng.random::<f64>());
                 match takes <= within {
@@ -98,9 +127,16 @@
                 s.rung = rung;
                 if let Some(server) = s.at {
                     self.world.rung(server, part, rung);
+                    self.followers_too(front, server, part, rung);
+                }
+            }
+            Action::Refuse(id, _) | Action::Fail(id) => {
+                let w = self.live.get(&id).map(|s| &self.wanted[s.wanted]);
+                if let Some((w, title)) = w.and_then(|w| Some((w, self.titles.get(&w.title)?))) {
+                    self.leaders.led(now, key(title, w.class), None);
                 }
+                self.refused(id);
             }
-            Action::Refuse(id, _) | Action::Fail(id) => self.refused(id),
             Action::Timer(after, token) => self.plan(now + after, What::Timer(front, token)),
             Action::Subscribe => {
                 let list = self.cast.list(front, self.layout, &self.news);
@@ -111,7 +147,7 @@
     }
 
     /// The worth goes to what stood in the way: of each holder its link or its uplink, the fuller one.
-    fn refused(&mut self, id: RequestId) {
+    pub fn refused(&mut self, id: RequestId) {
         let Some(s) = self.live.remove(&id) else { return };
         let w = &self.wanted[s.wanted];
         let worth = self.out.refused(self.stage.settings, w, s.came);
--- a/crates/forecast/src/figures.rs
+++ b/crates/forecast/src/figures.rs
@@ -38,6 +38,9 @@
     pub manner: Manner,
     /// Minutes that are played: the busiest.
     pub minutes: u32,
+    /// Modules of a play of a wave, of the loss of a hall, and of a change that may help: these are held against
+    /// each other, not against what comes.
+    pub quick: usize,
     /// Plays of a layout itself...
     pub plays: usize,
     /// ...and of each wave on the way.
@@ -50,6 +53,23 @@
     pub seed: u64,
 }
 
+/// What is played on a day.
+#[derive(Clone, Copy)]
+pub struct Scene<'a> {
+    /// The layout that holds until the busiest minutes begin, if it is another.
+    pub before: Option<&'a Layout>,
+    /// The layout.
+    pub layout: &'a Layout,
+    /// The hall that is lost in the middle.
+    pub lost: Option<usize>,
+}
+
+impl<'a> From<&'a Layout> for Scene<'a> {
+    fn from(layout: &'a Layout) -> Self {
+        Scene { before: None, layout, lost: None }
+    }
+}
+
 /// Days drawn from the record, the same for all that is compared.
 pub struct Days<'a> {
     settings: &'a Settings,
@@ -60,6 +80,8 @@
     pub span: (u32, u32),
     wanted: Vec<Vec<Wanted>>,
     widen: f64,
+    /// Plays the same sessions by another seed.
+    pub again: bool,
 }
 
 impl<'a> Days<'a> {
@@ -89,7 +111,7 @@
             }
             wanted.push(all);
         }
-        Ok(Days { settings, plan, judged, span, wanted, widen: judged.widen * spread.max(1.0) })
+        Ok(Days { settings, plan, judged, span, wanted, widen: judged.widen * spread.max(1.0), again: false })
     }
 
     /// How many there are.
@@ -101,25 +123,26 @@
         Duration::from_secs(60) * (self.span.1 - self.span.0)
     }
 
-    /// Plays one of them.
-    pub fn play(&self, i: usize, before: Option<&Layout>, layout: &Layout, lost: Option<usize>) -> Came {
-        let (settings, manner) = (self.settings, &self.plan.manner);
+    /// Plays one of them. `quick`: by [`Plan::quick`] modules.
+    pub fn play(&self, i: usize, scene: &Scene, quick: bool) -> Came {
+        let settings = self.settings;
+        let Scene { before, layout, lost } = *scene;
+        let quick = if quick { self.plan.quick } else { usize::MAX };
+        let manner = &Manner { modules: self.plan.manner.modules.min(quick), ..self.plan.manner.clone() };
         let stage = Stage { settings, before, layout, lost, lead: LEAD, span: self.length(), manner };
-        play(&stage, &self.wanted[i % self.wanted.len()], self.plan.seed ^ (i as u64 + 1))
+        play(
+            &stage,
+            &self.wanted[i % self.wanted.len()],
+            self.plan.seed ^ (i as u64 + 1) ^ (u64::from(self.again) << 32),
+        )
     }
 
-    /// The first of them played on a layout, and what that tells.
-    pub fn foretell(
-        &self,
-        before: Option<&Layout>,
-        layout: &Layout,
-        lost: Option<usize>,
-        plays: usize,
-    ) -> Foretold {
+    /// The first of them played, and what that tells.
+    pub fn foretell(&self, scene: &Scene, quick: bool, plays: usize) -> Foretold {
         let plays = plays.clamp(1, self.wanted.len());
-        let all: Vec<_> = (0..plays).map(|i| self.play(i, before, layout, lost)).collect();
+        let all: Vec<_> = (0..plays).map(|i| self.play(i, scene, quick)).collect();
         let most = all.iter().zip(&self.wanted).take(BOUNDED).map(|(came, wanted)| {
-            bound::most_served(self.settings, layout, wanted, self.length()) / came.asked.max(1e-9)
+            bound::most_served(self.settings, scene.layout, wanted, self.length()) / came.asked.max(1e-9)
         });
         let most: Vec<f64> = most.collect();
         let sessions = self.wanted.iter().map(Vec::len).sum::<usize>() as f64 / self.wanted.len() as f64;
@@ -162,6 +185,7 @@
         sessions: rows(|c| &c.sessions, 0.0),
         refused_by_class: refused(|c| &c.asked_by_class, |c| &c.refused_by_class),
         refused_by_tenant: refused(|c| &c.asked_by_tenant, |c| &c.refused_by_tenant),
+        expected: all.iter().map(Came::refused_part).sum::<f64>() / all.len().max(1) as f64,
         refused: of(&|c| c.refused_part(), rare * one).within(0.0, 1.0),
         crossing: of(&|c| part(c.crossed as f64, c.setups as f64), 0.0).within(0.0, 1.0),
         first_connections: of(&|c| c.first_connections as f64, 0.0),
--- a/crates/forecast/src/help.rs
+++ b/crates/forecast/src/help.rs
@@ -28,8 +28,8 @@
     limiting: Limiting,
     plays: usize,
 ) -> Option<Change> {
-    let base = excess(&days.foretell(None, end, None, plays), now, bars);
-    let came = days.play(0, None, end, None);
+    let base = excess(&days.foretell(&end.into(), true, plays), now, bars);
+    let came = days.play(0, &end.into(), true);
     let title = came.refused_by_title.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(t, _)| *t);
     let title = match limiting {
         Limiting::Title(t) => Some(t),
@@ -44,7 +44,7 @@
         Limiting::Title(_) => {}
     }
     tries.into_iter().find(|change| {
-        let then = excess(&days.foretell(None, &end.with(change), None, plays), now, bars);
+        let then = excess(&days.foretell(&(&end.with(change)).into(), true, plays), now, bars);
         base > 0.0 && then <= base * (1.0 - HELPS)
     })
 }
--- a/crates/forecast/src/lib.rs
+++ b/crates/forecast/src/lib.rs
@@ -10,6 +10,7 @@
 mod course;
 pub mod demand;
 mod figures;
+mod follow;
 mod help;
 pub mod layout;
 pub mod learn;
@@ -23,7 +24,7 @@
 
 pub use came::Came;
 pub use demand::{Judged, Unfit};
-pub use figures::{Days, Fault, Plan, MOST_PLAYS};
+pub use figures::{Days, Fault, Plan, Scene, MOST_PLAYS};
 pub use layout::{between, BadLayout};
 pub use learn::{BrokenRecord, Compared, Record, Said};
 pub use play::{play, Manner, Stage};
--- a/crates/forecast/src/play.rs
+++ b/crates/forecast/src/play.rs
@@ -2,6 +2,7 @@
 
 use crate::came::{Came, Collector};
 use crate::cast::{Cast, News};
+use crate::follow::Leaders;
 use crate::wanted::Wanted;
 use crate::world::{Loads, World};
 use crate::{LaidTitle, Layout};
@@ -20,7 +21,7 @@
 /// How a play is played.
 #[derive(Clone, Debug)]
 pub struct Manner {
-    /// Most modules; where there are more fronts one stands for several.
+    /// Most modules; where there are more fronts, the sessions of the rest go as those of these (`follow.rs`).
     pub modules: usize,
     /// Time that a set-up takes...
     pub setup: Duration,
@@ -69,6 +70,8 @@
     pub rung: usize,
     pub attempts: u32,
     pub at: Option<ServerId>,
+    /// Its front is not played.
+    pub follows: bool,
 }
 
 pub(crate) struct Run<'a> {
@@ -80,6 +83,7 @@
     pub loads: Loads,
     pub news: News,
     pub cast: Cast,
+    pub leaders: Leaders,
     pub world: World,
     pub rng: ChaCha8Rng,
     pub queue: BinaryHeap<Reverse<(Duration, u64, What)>>,
@@ -108,6 +112,7 @@
         loads: Loads::default(),
         news: News::default(),
         cast,
+        leaders: Leaders::default(),
         world: World::new(stage.settings, first),
         rng,
         queue: BinaryHeap::new(),
--- a/crates/forecast/src/types.rs
+++ b/crates/forecast/src/types.rs
@@ -112,6 +112,8 @@
     pub refused_by_tenant: BTreeMap<usize, Likely>,
     /// Worth refused, of all that was asked.
     pub refused: Likely,
+    /// The mean of it: where most days refuse nothing the middle does not tell layouts apart.
+    pub expected: f64,
     /// Sessions that cross halls, of all.
     pub crossing: Likely,
     /// First connections of a front to a server.
--- a/crates/forecast/src/upsets.rs
+++ b/crates/forecast/src/upsets.rs
@@ -1,6 +1,7 @@
 //! What happens to all at once in a play: seconds and their notes, a new layout, the loss of a hall.
 
 use crate::cast::News;
+use crate::follow::FOLLOWERS;
 use crate::play::{places, Live, Run, What, EPOCH, SECOND};
 use crate::world::Part;
 use cloverhollow::{Event, Note, Outcome, Report, ServerId};
@@ -23,7 +24,7 @@
                 continue;
             }
             let link = loads.links.get(id).copied().unwrap_or(0.0);
-            for sessions in lane.there.values() {
+            for (_, sessions) in lane.there.iter().filter(|(f, _)| **f != FOLLOWERS) {
                 let all = if self.stage.manner.all_notes { sessions.len() } else { 1 };
                 for one in sessions.iter().take(all) {
                     if due {
@@ -55,6 +56,7 @@
         self.titles = places(self.layout);
         self.world.lay(self.layout, &anew, Some(now));
         self.news = News { cold: anew, since: now, gone: self.news.gone.clone() };
+        self.leaders.forget();
         self.tell_lists();
         self.deliver(now);
         lost.into_iter().for_each(|i| self.comes(now, i));
@@ -69,6 +71,7 @@
         let lost = self.drop_sessions(&gone, &fronts);
         self.world.lanes.retain(|id, _| !gone.contains(id));
         self.news.gone.extend(gone);
+        self.leaders.forget();
         self.tell_lists();
         self.deliver(now);
         lost.into_iter().for_each(|i| self.comes(now, i));
@@ -83,10 +86,13 @@
             let Some(s) = self.live.remove(&id) else { continue };
             let w = &self.wanted[s.wanted];
             if let Some(at) = s.at {
-                self.world.end(at, s.front, id, Part { title: w.title, class: w.class, rung: s.rung });
-                let attempt = s.attempts.saturating_sub(1);
-                let ended = Event::Ended(id, attempt, at, Outcome::Reset, true, Report::default());
-                self.tell(s.front, ended);
+                let part = Part { title: w.title, class: w.class, rung: s.rung };
+                self.world.end(at, if s.follows { FOLLOWERS } else { s.front }, id, part);
+                if !s.follows {
+                    let attempt = s.attempts.saturating_sub(1);
+                    let ended = Event::Ended(id, attempt, at, Outcome::Reset, true, Report::default());
+                    self.tell(s.front, ended);
+                }
             }
             again.push(s.wanted);
         }
--- a/crates/forecast/src/verdict.rs
+++ b/crates/forecast/src/verdict.rs
@@ -1,6 +1,6 @@
 //! Take it, take it in waves, or don't: with the reasons.
 
-use crate::figures::{Days, Fault, Plan};
+use crate::figures::{Days, Fault, Plan, Scene};
 use crate::help::help;
 use crate::layout::MOST_WAVES;
 use crate::learn::Record;
@@ -81,8 +81,8 @@
     if let Some(title) = it.steps[1..].iter().find_map(|step| unheld(step, &wanted, cells)) {
         return Ok(no_holder(verdict, title, "the end of a step"));
     }
-    verdict.at_end = days.foretell(None, end, None, it.plan.plays);
-    verdict.as_is = days.foretell(None, from, None, it.plan.plays);
+    verdict.at_end = days.foretell(&end.into(), false, it.plan.plays);
+    verdict.as_is = days.foretell(&from.into(), false, days.count().div_ceil(2));
     let over = over(&verdict.at_end, &verdict.as_is, &it.bars);
     if let Some((limiting, why)) = over {
         verdict.limiting = Some(limiting);
@@ -98,7 +98,10 @@
 fn in_waves(it: &Asking, days: &Days, wanted: &BTreeSet<u64>, mut verdict: Verdict) -> Verdict {
     let (from, cells) = (&it.steps[0], it.settings.cells);
     let halls = from.serves.len();
-    let now_lost: Vec<_> = (0..halls).map(|h| days.foretell(None, from, Some(h), 1).refused.middle).collect();
+    let as_is = days.foretell(&from.into(), true, it.plan.few);
+    let now_lost: Vec<_> = (0..halls)
+        .map(|h| days.foretell(&Scene { lost: Some(h), ..from.into() }, true, 1).refused.middle)
+        .collect();
     let most = it.steps.windows(2).map(|w| w[0].changed(&w[1]).len()).max().unwrap_or(0).max(1);
     let mut count = most.div_ceil(it.record.most_a_wave(most));
     loop {
@@ -117,14 +120,15 @@
                 if let Some(title) = unheld(&layout, wanted, cells) {
                     return no_holder(verdict, title, "a wave on the way");
                 }
-                let costs = days.foretell(Some(&before), &layout, None, it.plan.few);
+                let scene = Scene { before: Some(&before), layout: &layout, lost: None };
+                let costs = days.foretell(&scene, true, it.plan.few);
                 let mut wave = Wave { servers: before.changed(&layout), costs, ..Wave::default() };
-                broke = wave_over(&wave.costs, &verdict.as_is, &it.bars);
+                broke = wave_over(&wave.costs, &as_is, &it.bars);
                 for (hall, now) in now_lost.iter().enumerate() {
                     if broke.is_some() {
                         break;
                     }
-                    let lost = days.foretell(Some(&before), &layout, Some(hall), 1);
+                    let lost = days.foretell(&Scene { lost: Some(hall), ..scene }, true, 1);
                     if lost.refused.middle > now + it.bars.lost_more {
                         let (more, now) = (lost.refused.middle * 100.0, now * 100.0);
                         let why =
--- a/crates/forecast/src/wanted.rs
+++ b/crates/forecast/src/wanted.rs
@@ -7,8 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Standing sessions come within this time before the span.
-pub const LEAD: Duration = Duration::from_secs(60);
+/// A play begins so long before the span: what comes in that time comes as it does in the span...
+pub const LEAD: Duration = Duration::from_secs(240);
+/// ...and what stands then comes spread over this time: in a rush fronts would place it worse than they did.
+const OLD: f64 = 180.0;
 /// Most sessions of one play.
 pub const MOST_WANTED: usize = 1 << 20;
 
@@ -76,18 +78,15 @@
                 let Asked { title, class, tenant, hall, .. } = *a;
                 Wanted { at, title, class, tenant, hall, until: at + long }
             };
-            if *minute < span.0 {
-                // The rest of an exponential time is as long as all of it.
-                let gone = f64::from(span.0 - minute) * 60.0 - 30.0;
-                for _ in 0..poisson(a.began * (-gone / mean).exp(), rng) {
-                    let at = rng.random::<f64>() * LEAD.as_secs_f64();
-                    let mut w = one(at, rng);
-                    w.until = LEAD + (w.until - w.at);
-                    all.push(w);
+            let begin = LEAD.as_secs_f64() + (f64::from(*minute) - f64::from(span.0)) * 60.0;
+            if begin < 0.0 {
+                // Still there when the play begins; the rest of an exponential time is as long as all of it.
+                for _ in 0..poisson(a.began * ((begin + 30.0).min(0.0) / mean).exp(), rng) {
+                    let at = rng.random::<f64>() * OLD;
+                    all.push(one(at, rng));
                 }
                 continue;
             }
-            let begin = LEAD.as_secs_f64() + f64::from(minute - span.0) * 60.0;
             for _ in 0..poisson(a.began - a.at_once, rng) {
                 let at = begin + 60.0 * rng.random::<f64>();
                 all.push(one(at, rng));
--- a/crates/forecast/tests/common/mod.rs
+++ b/crates/forecast/tests/common/mod.rs
@@ -93,6 +93,7 @@
             waits: secs(8),
         },
         minutes: 10,
+        quick: 8,
         plays: 6,
         few: 2,
         most_sessions: 100_000,
--- a/crates/lab/src/foretold/score.rs
+++ b/crates/lab/src/foretold/score.rs
@@ -18,8 +18,10 @@
     pub advice: Advice,
     /// What limits.
     pub limiting: Option<Limiting>,
-    /// Worth refused: foretold...
+    /// Worth refused: foretold, its mean...
     pub refused: Likely,
+    /// See above.
+    pub expected: f64,
     /// ...as it came, and by the textbook.
     pub came: f64,
     /// See above.
@@ -63,6 +65,7 @@
             advice: verdict.advice.clone(),
             limiting: verdict.limiting,
             refused: it.refused,
+            expected: it.expected,
             came: came.refused_part(),
             book: book.refused,
             links: it.links.iter().map(link).collect(),
@@ -146,7 +149,7 @@
             links_inside: mean(links().map(|(l, came, _)| inside(l, *came)).collect()),
             uplinks_inside: mean(uplinks().map(|(l, came)| inside(l, *came)).collect()),
             refused_inside: mean(layouts.iter().map(|o| inside(&o.refused, o.came)).collect()),
-            tau: kendall(&layouts.iter().map(|o| (o.refused.middle, o.came)).collect::<Vec<_>>()),
+            tau: kendall(&layouts.iter().map(|o| (o.expected, o.came)).collect::<Vec<_>>()),
             book_tau: kendall(&layouts.iter().map(|o| (o.book, o.came)).collect::<Vec<_>>()),
             taken: taken(|o| o.takes),
             book_taken: taken(|o| o.book_takes),
