--- a/crates/forecast/src/came.rs
+++ b/crates/forecast/src/came.rs
@@ -54,6 +54,11 @@
         self.refused / self.asked.max(1e-9)
     }
 
+    /// The highest peak of a link or uplink.
+    pub fn peak(&self) -> f64 {
+        self.links.values().chain(self.uplinks.values()).copied().fold(0.0, f64::max)
+    }
+
     /// What limited most, if anything was refused.
     pub fn limiting(&self) -> Option<Limiting> {
         self.blame.iter().max_by(|a, b| a.1.total_cmp(b.1)).filter(|b| *b.1 > 0.0).map(|(l, _)| *l)
--- a/crates/forecast/src/demand.rs
+++ b/crates/forecast/src/demand.rs
@@ -1,5 +1,6 @@
 //! What was recorded, judged, and days drawn from it.
 
+use crate::wanted::MOST_WANTED;
 use crate::{Asked, Demand};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -82,6 +83,10 @@
                 }
             }
         }
+        let many = |d: &Day| d.values().flatten().map(|a| a.began).sum::<f64>() > MOST_WANTED as f64;
+        if self.days.iter().any(many) {
+            return Err(Unfit::Bad("a day of more sessions than its bound"));
+        }
         if self.days.len() > MOST_DAYS {
             return Err(Unfit::Bad("more days than its bound"));
         }
--- a/crates/forecast/src/figures.rs
+++ b/crates/forecast/src/figures.rs
@@ -182,6 +182,7 @@
     Foretold {
         links: rows(|c| &c.links, 0.0),
         uplinks: keys(|c| &c.uplinks).into_iter().map(uplink).collect(),
+        peak: of(&Came::peak, 0.0),
         sessions: rows(|c| &c.sessions, 0.0),
         refused_by_class: refused(|c| &c.asked_by_class, |c| &c.refused_by_class),
         refused_by_tenant: refused(|c| &c.asked_by_tenant, |c| &c.refused_by_tenant),
--- a/crates/forecast/src/follow.rs
+++ b/crates/forecast/src/follow.rs
@@ -20,11 +20,14 @@
 /// Older ones are not followed.
 const RECENT: Duration = Duration::from_secs(60);
 
+/// Where a title lies, and the class.
 type Key = (u64, u64, usize);
+/// When, and the server and rung.
+type Led = (Duration, Option<(ServerId, usize)>);
 
 /// What played fronts did last; `None`: refused.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Leaders(BTreeMap<Key, VecDeque<(Duration, Option<(ServerId, usize)>)>>);
+pub(crate) struct Leaders(BTreeMap<Key, VecDeque<Led>>);
 
 impl Leaders {
     pub fn led(&mut self, now: Duration, key: Key, what: Option<(ServerId, usize)>) {
--- a/crates/forecast/src/types.rs
+++ b/crates/forecast/src/types.rs
@@ -104,6 +104,8 @@
     pub links: BTreeMap<u64, Likely>,
     /// The same for each rack's uplink.
     pub uplinks: BTreeMap<usize, Likely>,
+    /// The highest of all those peaks: that none passes a bar is less likely than that each does not.
+    pub peak: Likely,
     /// Sessions of each server at its peak.
     pub sessions: BTreeMap<u64, Likely>,
     /// Worth refused, of all that was asked, by class.
--- a/crates/forecast/src/upsets.rs
+++ b/crates/forecast/src/upsets.rs
@@ -19,7 +19,7 @@
         for (id, lane) in &self.world.lanes {
             let share = self.world.share(&loads, *id);
             let was = if share < 1.0 { !self.short.insert(*id) } else { self.short.remove(id) };
-            let due = !set.told_every.is_zero() && (now.as_secs() + id) % every == 0;
+            let due = !set.told_every.is_zero() && (now.as_secs() + id).is_multiple_of(every);
             if !due && !was && share >= 1.0 {
                 continue;
             }
--- a/crates/forecast/src/verdict.rs
+++ b/crates/forecast/src/verdict.rs
@@ -15,7 +15,7 @@
 /// What a layout may cost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bars {
-    /// The high end of a link's or an uplink's peak, over what it gives.
+    /// The high end of the highest peak of a link or an uplink, over what it gives.
     pub link: f64,
     /// Worth refused over what the layout that holds would refuse, of all that is asked.
     pub refused_more: f64,
@@ -87,7 +87,7 @@
     if let Some((limiting, why)) = over {
         verdict.limiting = Some(limiting);
         verdict.reasons.push(why);
-        verdict.change = help(&days, end, &it.bars, &verdict.as_is, limiting, it.plan.few);
+        verdict.change = help(&days, end, &it.bars, (&verdict.at_end, &verdict.as_is), limiting, it.plan.few);
         verdict.helps = verdict.change.map(|c| c.words());
         return Ok(verdict);
     }
@@ -186,8 +186,9 @@
         let (more, now) = (it.refused.high * 100.0, now.refused.high * 100.0);
         return Some((limiting, format!("up to {more:.1}% of all worth is refused, as it is {now:.1}%")));
     }
-    let (limiting, high) = worst.filter(|w| w.1 > bars.link)?;
-    Some((limiting, format!("up to {:.0}% of it may be asked", high * 100.0)))
+    let (limiting, high) = worst.filter(|w| it.peak.high.max(w.1) > bars.link)?;
+    let any = it.peak.high * 100.0;
+    Some((limiting, format!("up to {:.0}% of it may be asked, up to {any:.0}% of any", high * 100.0)))
 }
 
 /// The same of a wave, by the middle: how far days differ was looked at with the layout itself.
--- a/crates/forecast/src/wanted.rs
+++ b/crates/forecast/src/wanted.rs
@@ -78,27 +78,31 @@
                 let Asked { title, class, tenant, hall, .. } = *a;
                 Wanted { at, title, class, tenant, hall, until: at + long }
             };
+            if all.len() >= MOST_WANTED {
+                break;
+            }
+            // No line brings more than the bound leaves room for.
+            let room = MOST_WANTED - all.len();
+            let count = |mean: f64, rng: &mut ChaCha8Rng| poisson(mean.min(room as f64), rng).min(room);
             let begin = LEAD.as_secs_f64() + (f64::from(*minute) - f64::from(span.0)) * 60.0;
             if begin < 0.0 {
                 // Still there when the play begins; the rest of an exponential time is as long as all of it.
-                for _ in 0..poisson(a.began * ((begin + 30.0).min(0.0) / mean).exp(), rng) {
-                    let at = rng.random::<f64>() * OLD;
-                    all.push(one(at, rng));
+                for _ in 0..count(a.began * ((begin + 30.0).min(0.0) / mean).exp(), rng) {
+                    let mut w = one(rng.random::<f64>() * OLD, rng);
+                    w.until -= w.at;
+                    all.extend((w.until > w.at).then_some(w));
                 }
                 continue;
             }
-            for _ in 0..poisson(a.began - a.at_once, rng) {
+            for _ in 0..count(a.began - a.at_once, rng) {
                 let at = begin + 60.0 * rng.random::<f64>();
                 all.push(one(at, rng));
             }
-            for _ in 0..poisson(a.at_once, rng) {
+            for _ in 0..count(a.at_once, rng) {
                 let at = begin + burst * rng.random::<f64>();
                 all.push(one(at, rng));
             }
         }
-        if all.len() > MOST_WANTED {
-            break;
-        }
     }
     all.truncate(MOST_WANTED);
     all.sort_by_key(|w| w.at);
--- a/crates/lab/src/foretold/big.rs
+++ b/crates/lab/src/foretold/big.rs
@@ -1,7 +1,8 @@
 //! A large fleet: how long a forecast takes on one core, and what fewer modules than fronts cost in exactness.
 
+use super::fleet::{Fleet, Size};
 use super::plan;
-use super::process::{Fleet, Process, Size};
+use super::process::Process;
 use cloverhollow_forecast::{assess, Advice, Asking, Bars, Days, Fault, Foretold, Record};
 use serde::Serialize;
 use std::time::Instant;
@@ -11,6 +12,8 @@
 pub struct Big {
     /// Time of a verdict with all its plays, s.
     pub verdict: f64,
+    /// How often the layout itself was played for it.
+    pub plays: usize,
     /// What it advised.
     pub advice: Advice,
     /// Its reasons.
@@ -46,10 +49,10 @@
     let size = Size { servers: 200, titles: 1_000, fronts: 300, halls: 3, racks: 24, cells: 48 };
     let fleet = Fleet::sized(seed, &size);
     let process = Process::draw(&fleet, seed);
-    let demand = process.record(&fleet, seed);
+    let demand = process.record(seed);
     let steps = [fleet.before.clone(), fleet.layout.clone()];
     let (record, mut plan) = (Record::default(), plan(seed));
-    (plan.minutes, plan.few) = (10, 1);
+    (plan.minutes, plan.few, plan.most_sessions) = (10, 1, 30_000);
     let asking = Asking {
         settings: &fleet.settings,
         steps: &steps,
@@ -62,6 +65,7 @@
     let begun = Instant::now();
     let verdict = assess(&asking)?;
     let took = begun.elapsed().as_secs_f64();
+    let plays = Days::new(&fleet.settings, &plan, &demand, demand.until, 1.0)?.count();
     let mut modules = Vec::new();
     let mut full = None;
     for (n, again) in [(300, false), (300, true), (150, false), (75, false), (32, false)] {
@@ -75,5 +79,5 @@
         let (links, mean, refused) = differ(&it, full.get_or_insert_with(|| it.clone()));
         modules.push(Scaled { modules: n, took, links, mean, refused });
     }
-    Ok(Big { verdict: took, advice: verdict.advice, reasons: verdict.reasons, modules })
+    Ok(Big { verdict: took, plays, advice: verdict.advice, reasons: verdict.reasons, modules })
 }
--- a/crates/lab/src/foretold/mod.rs
+++ b/crates/lab/src/foretold/mod.rs
@@ -1,17 +1,19 @@
 //! Layouts foretold, and what came: how good [`cloverhollow_forecast`] is.
 //!
-//! [`process`] draws fleets and the process that their days come from; days are recorded as fronts record them; the
-//! forecast sees the record alone. [`truth`] plays the day after, of the same process, by a module for each front.
-//! [`textbook`] is what one does without: sums of mean demand over weights. [`score`] holds them side by side.
+//! [`Fleet`] and [`Process`] are drawn; days are recorded as fronts record them; the
+//! forecast sees the record alone. `truth` plays the day after, of the same process, by a module for each front.
+//! `textbook` is what one does without: sums of mean demand over weights. [`Scores`] holds them side by side.
 
 mod big;
+mod fleet;
 mod process;
 mod score;
 mod textbook;
 mod truth;
 
 pub use big::{big, Big};
-pub use process::{Fleet, Process};
+pub use fleet::Fleet;
+pub use process::Process;
 pub use score::{Outcome, Scores};
 
 use cloverhollow_forecast::{assess, Advice, Asking, Bars, Fault, Manner, Plan, Record};
@@ -20,7 +22,10 @@
 /// Minutes that a forecast looks at.
 const MINUTES: u32 = 20;
 
-/// How the forecast plays. Truth has other manners ([`truth`]).
+/// Other days that one who knows the process is given.
+const OTHERS: usize = 6;
+
+/// How the forecast plays. Truth has other manners (`truth`).
 fn plan(seed: u64) -> Plan {
     Plan {
         manner: Manner {
@@ -44,7 +49,7 @@
 pub fn one(seed: u64) -> Result<Outcome, Fault> {
     let fleet = Fleet::draw(seed);
     let process = Process::draw(&fleet, seed);
-    let demand = process.record(&fleet, seed);
+    let demand = process.record(seed);
     let plan = plan(seed.wrapping_mul(31).wrapping_add(7));
     let record = Record::default();
     let steps = [fleet.before.clone(), fleet.layout.clone()];
@@ -59,11 +64,12 @@
     };
     let begun = std::time::Instant::now();
     let verdict = assess(&asking)?;
-    let took = begun.elapsed();
+    let took = begun.elapsed().as_secs_f64();
     let span = verdict.at_end.span;
-    let wanted = process.truth(&fleet, seed);
+    let wanted = process.truth(seed);
     let came = truth::play(&fleet, &wanted, span, seed);
+    let known = truth::known(&fleet, &process.others(OTHERS, seed), span, seed);
     let book = textbook::foretell(&fleet, &demand, span);
     let takes = verdict.advice != Advice::Dont;
-    Ok(Outcome::of(seed, &fleet, &verdict, takes, &came, &book, took))
+    Ok(Outcome { took, ..Outcome::of(seed, &fleet, &verdict, takes, &came, (&book, known)) })
 }
--- a/crates/lab/src/foretold/score.rs
+++ b/crates/lab/src/foretold/score.rs
@@ -1,11 +1,10 @@
 //! Foretold and came, side by side.
 
-use super::process::Fleet;
+use super::fleet::Fleet;
 use super::textbook::Book;
 use super::truth::Truth;
 use cloverhollow_forecast::{Advice, Likely, Limiting, Verdict};
 use serde::Serialize;
-use std::time::Duration;
 
 /// One layout.
 #[derive(Clone, Debug, Serialize)]
@@ -26,6 +25,8 @@
     pub came: f64,
     /// See above.
     pub book: f64,
+    /// The mean of other days of the same process: what one who knows all but the day could foretell.
+    pub known: f64,
     /// Of each link: foretold (low, middle, high), came, by the textbook.
     pub links: Vec<(Likely, f64, f64)>,
     /// The same of each uplink, without the textbook.
@@ -51,8 +52,7 @@
         verdict: &Verdict,
         takes: bool,
         truth: &Truth,
-        book: &Book,
-        took: Duration,
+        (book, known): (&Book, f64),
     ) -> Outcome {
         let (it, came) = (&verdict.at_end, &truth.span);
         let link = |(id, l): (&u64, &Likely)| {
@@ -67,6 +67,7 @@
             refused: it.refused,
             expected: it.expected,
             came: came.refused_part(),
+            known,
             book: book.refused,
             links: it.links.iter().map(link).collect(),
             uplinks: it.uplinks.iter().map(uplink).collect(),
@@ -75,7 +76,7 @@
             book_takes: book.takes,
             served: came.served / came.asked.max(1e-9),
             most_served: it.most_served,
-            took: took.as_secs_f64(),
+            took: 0.0,
         }
     }
 }
@@ -99,6 +100,8 @@
     pub tau: f64,
     /// See above.
     pub book_tau: f64,
+    /// By the mean of other days of the process and came: as far as a forecast can get.
+    pub known_tau: f64,
     /// Layouts advised to be taken, and of them those that broke a limit.
     pub taken: (usize, usize),
     /// By the textbook.
@@ -151,6 +154,7 @@
             refused_inside: mean(layouts.iter().map(|o| inside(&o.refused, o.came)).collect()),
             tau: kendall(&layouts.iter().map(|o| (o.expected, o.came)).collect::<Vec<_>>()),
             book_tau: kendall(&layouts.iter().map(|o| (o.book, o.came)).collect::<Vec<_>>()),
+            known_tau: kendall(&layouts.iter().map(|o| (o.known, o.came)).collect::<Vec<_>>()),
             taken: taken(|o| o.takes),
             book_taken: taken(|o| o.book_takes),
             longest: layouts.iter().map(|o| o.took).fold(0.0, f64::max),
@@ -194,6 +198,7 @@
         row("uplinks inside %", pc(self.uplinks_inside), "-".into());
         row("refused worth inside %", pc(self.refused_inside), "-".into());
         row("Kendall's tau by refused worth", format!("{:.3}", self.tau), format!("{:.3}", self.book_tau));
+        row("the same, knowing the process", format!("{:.3}", self.known_tau), "-".into());
         let both = |(all, broke): (usize, usize)| format!("{broke} of {all}");
         row("advised to take, broke a limit", both(self.taken), both(self.book_taken));
         row("longest forecast s", format!("{:.2}", self.longest), "-".into());
--- a/crates/lab/src/foretold/textbook.rs
+++ b/crates/lab/src/foretold/textbook.rs
@@ -1,6 +1,6 @@
 //! The textbook: mean demand of the busiest minutes, spread over the holders by their weights.
 
-use super::process::Fleet;
+use super::fleet::Fleet;
 use cloverhollow_forecast::Demand;
 use std::collections::BTreeMap;
 
