--- a/crates/forecast/tests/verdict.rs
+++ b/crates/forecast/tests/verdict.rs
@@ -132,3 +132,28 @@
     assert_eq!(one, judge(&[from.clone(), to.clone()], &set, &asked, 5));
     assert_ne!(one.at_end, judge(&[from, to], &set, &asked, 6).at_end);
 }
+
+/// Two servers change places; title 0 lies on the cell of the first alone. Both ends hold it, and so does one wave of
+/// both; waves of one server do not.
+#[test]
+fn a_wave_on_the_way_without_a_holder_is_refused() {
+    let set = settings(8, 4);
+    let mut from = layout(8, 8, 4, 80_000.0);
+    from.titles[0].cells = 1;
+    let mut to = Layout { generation: 2, ..from.clone() };
+    (to.servers[0].cell, to.servers[4].cell) = (4, 0);
+    let (asked, plan, mut record) = (demand(8, 8.0, &DAYS), plan(1), Record::default());
+    let steps = [from, to];
+    let bars = Bars { lost_more: 1.0, wave_more: 1.0, link: 10.0, refused_more: 1.0 };
+    let judged = |record: &Record| {
+        let now = asked.until;
+        let it = Asking { settings: &set, steps: &steps, demand: &asked, now, record, bars, plan: &plan };
+        assess(&it).unwrap()
+    };
+    assert_eq!(judged(&record).advice, Advice::Take);
+    let wrong = Came { asked: 1.0, refused: 1.0, ..Came::default() };
+    record.add(1, &Foretold::default(), &wrong);
+    let v = judged(&record);
+    assert_eq!((v.advice, v.limiting), (Advice::Dont, Some(Limiting::Title(0))), "{:?}", v.reasons);
+    assert!(v.reasons[0].contains("a wave on the way"), "{:?}", v.reasons);
+}
