--- a/crates/forecast/src/course.rs
+++ b/crates/forecast/src/course.rs
@@ -88,7 +88,7 @@
         self.tell(front, Event::Ended(id, attempt, server, how, over, Report::default()));
     }
 
-    /// A session is over; the front hears how the link is.
+    /// A session is over. The front hears of links by notes alone.
     pub fn ends(&mut self, id: RequestId) {
         let Some(s) = self.live.remove(&id) else { return };
         let w = &self.wanted[s.wanted];
