--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -1,13 +1,13 @@
 //! A front as a process: starts, says where it listens, runs until it is told to stop.
 
 use cloverhollow::Brain;
-use cloverhollow_front::{Front, StartError};
+use cloverhollow_front::{Front, Leave, StartError};
 use cloverhollow_record::Recorder;
 use cloverhollow_session::{Policy, Tap};
 use cloverhollow_settings::{FrontSettings, SettingsError};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// What a front is started with.
 #[derive(Clone, Debug)]
@@ -89,15 +89,52 @@
     let members = front.members.map(|a| a.to_string());
     let ready = serde_json::json!({ "address": front.address.to_string(), "side": side, "members": members });
     println!("{ready}");
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+    until_it_may_stop(&front, &settings, &mut term, &mut int).await;
     tracing::info!("stopping");
     front.stop().await;
     Ok(())
 }
 
+/// Serves on until it may stop: told by a signal it waits for its permit, `out.wait_ms` at most, and asked at the side
+/// address it goes with a permit or not at all. A second signal is obeyed at once.
+async fn until_it_may_stop(front: &Front, settings: &FrontSettings, term: &mut Signal, int: &mut Signal) {
+    let (name, wait) = (settings.instance.name.as_str(), settings.out.wait_ms.get());
+    let mut told = false;
+    loop {
+        if !told {
+            tokio::select! {
+                _ = term.recv() => told = true,
+                _ = int.recv() => told = true,
+                () = front.asked_out() => {}
+            }
+        }
+        let left = tokio::select! {
+            left = front.leave_when_allowed(wait) => Some(left),
+            _ = term.recv() => None,
+            _ = int.recv() => None,
+        };
+        match left {
+            Some(Leave::Off | Leave::Permit) => return,
+            Some(Leave::Without) if told => {
+                let (reason, waited_ms) = (front.why_not(), wait.as_millis() as u64);
+                tracing::warn!(member = name, reason, waited_ms, "goes out without a permit");
+                return;
+            }
+            Some(Leave::Without) => {
+                let reason = front.why_not();
+                tracing::warn!(member = name, reason, "was asked to go out and stays: no permit in time");
+                front.stay();
+            }
+            None if told => {
+                tracing::warn!(member = name, reason = "told a second time", "goes out without a permit");
+                return;
+            }
+            // It was asked to go when it may, and is now told to stop.
+            None => told = true,
+        }
+    }
+}
+
 impl Serve {
     /// Runs a front that the decision module decides for.
     ///
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -27,8 +27,10 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// How many are there, at least and at most, and what the decisions reckon with.
+    /// How many are there, at least and at most, what the decisions reckon with, and who may be out.
     Status,
+    /// Asks the front to go out as soon as it may: it serves on meanwhile, and stays where it gets no permit.
+    Out,
     /// All members, one a line.
     Members,
     /// Why one member is seen as it is.
@@ -83,7 +85,13 @@
     /// # Errors
     /// The front can't be asked, or knows nobody of that name.
     pub async fn run(self) -> Result<(), FleetError> {
-        let page = tokio::time::timeout(WITHIN, ask(self.side)).await;
+        let asked = async {
+            match self.what {
+                What::Out => go_out(self.side).await,
+                _ => ask(self.side).await,
+            }
+        };
+        let page = tokio::time::timeout(WITHIN, asked).await;
         let page = page.unwrap_or_else(|_| Err("no answer in time".into()));
         let page = page.map_err(|what| FleetError::Asked { side: self.side, what })?;
         let members = page["members"].as_array().cloned().unwrap_or_default();
@@ -94,6 +102,8 @@
                 println!("{page}");
             }
             What::Status => status(&page),
+            What::Out if self.json => println!("{page}"),
+            What::Out => println!("asked: it goes out once it holds a permit; see `fleet status`"),
             What::Members if self.json => println!("{}", page["members"]),
             What::Members => {
                 println!("name\thall\taddress\tsure\tsince_ms\theard_ms\tlife");
@@ -141,6 +151,7 @@
     if let Value::String(other) = &page["stepped_back"] {
         println!("stepped back: a younger process of this name is at {other}");
     }
+    permits(&page["out"]);
     let d = &page["datagrams"];
     println!(
         "datagrams: {} taken, {} sent ({} bytes), refused {}",
@@ -148,15 +159,53 @@
     );
 }
 
+/// Who may be out, and who is.
+fn permits(out: &Value) {
+    if out.is_null() {
+        return println!("permits: off (out.fleet is 0)");
+    }
+    println!("permits: {} of the fleet, {} of a hall may be out at once", out["fleet"], out["hall"]);
+    match &out["register"] {
+        Value::Null => println!("register: not heard of yet"),
+        r => println!("register: term {}, heard {} ms ago", r["term"], r["heard_ms"]),
+    }
+    let list = |v: &Value| v.as_array().cloned().unwrap_or_default();
+    for p in list(&out["register"]["permits"]) {
+        println!("permit: {} in term {}, for {} ms at the most", text(&p["name"]), p["term"], p["lease_ms"]);
+    }
+    for o in list(&out["counted_out"]) {
+        println!("counts as out: {} ({})", text(&o["name"]), text(&o["why"]));
+    }
+    match &out["unsure_ms"] {
+        Value::Null => println!("view: not sure yet, so no permit"),
+        ms => println!("view: sure {ms} ms ago"),
+    }
+    if let Value::String(sight) = &out["witness"] {
+        println!("witness of permits: {sight}");
+    }
+    if out["wanted"] == true {
+        let held = if out["held"] == true { "holds its permit" } else { "waits for its permit" };
+        println!("told to go out: {held} ({})", text(&out["reason"]));
+    }
+}
+
 async fn ask(side: SocketAddr) -> Result<Value, String> {
-    let mut conn = cloverhollow_net::connect(side).await.map_err(|e| e.to_string())?;
     let target = Target::parse(Bytes::from_static(b"/v1/fleet")).ok_or("no path")?;
-    let mut head = RequestHead::get(target);
+    exchange(side, RequestHead::get(target), "this front is no member (members.listen is not set)").await
+}
+
+async fn go_out(side: SocketAddr) -> Result<Value, String> {
+    let target = Target::parse(Bytes::from_static(b"/v1/out")).ok_or("no path")?;
+    exchange(side, RequestHead::post(target, 0), "this front asks for no permits (out.fleet is 0)").await
+}
+
+async fn exchange(side: SocketAddr, mut head: RequestHead, off: &str) -> Result<Value, String> {
+    let mut conn = cloverhollow_net::connect(side).await.map_err(|e| e.to_string())?;
     head.headers.push("host", side.to_string());
     let (head, body) = conn.exchange(head, Bytes::new(), MOST).await.map_err(|e| e.to_string())?;
     match head.status {
-        200 => {}
-        404 => return Err("this front is no member (members.listen is not set)".into()),
+        200 | 202 => {}
+        404 => return Err(off.into()),
         status => return Err(format!("status {status}")),
     }
     serde_json::from_slice(&body).map_err(|e| e.to_string())
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -80,6 +80,12 @@
 /// A front's process: ended with the test, however that ends.
 pub struct Life(Child);
 
+impl From<Child> for Life {
+    fn from(child: Child) -> Life {
+        Life(child)
+    }
+}
+
 impl Drop for Life {
     fn drop(&mut self) {
         let _ = self.0.kill();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Nothing here decides; what is bounded and by which setting is said where it is bounded.
 
+mod accept;
 mod attempt;
 mod clock;
 mod desk;
@@ -15,6 +16,7 @@
 mod lives;
 mod members;
 mod object;
+mod out;
 mod peers;
 mod pool;
 mod release;
@@ -25,6 +27,7 @@
 
 pub use cloverhollow_net::Clock;
 pub use lives::deeds_file;
+pub use out::Leave;
 
 use cloverhollow_recovery::Trust;
 use cloverhollow_session::{Core, Input, Policy, Routes, Shelf, Stats, Tap};
@@ -34,9 +37,8 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, Semaphore};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -101,6 +103,8 @@
     stop: CancellationToken,
     tasks: TaskTracker,
     journal: journal::Journal,
+    fleet: Option<Arc<members::Fleet>>,
+    name: String,
 }
 
 impl Front {
@@ -175,7 +179,10 @@
         }
         tasks.spawn(until(stop.clone(), peers::run(shared.clone(), state.clone(), side_address, outcomes)));
         let members = fleet.as_ref().and_then(|(_, socket)| socket.local_addr().ok());
+        let of_fleet = fleet.as_ref().map(|f| f.0.clone());
         if let Some((fleet, socket)) = fleet {
+            // It ends by itself too: a write that is under way is waited for.
+            tasks.spawn(out::keep(fleet.clone(), stop.clone()));
             // Stops by itself: it leaves with a word.
             tasks.spawn(members::run(fleet, socket, settings.members.sync_ms.get(), stop.clone()));
         }
@@ -189,10 +196,14 @@
         tasks.spawn(until(stop.clone(), async move {
             // Drains that the last life heard may be lost: then the list is waited for.
             let _ = tokio::time::timeout(hold, state.settled(proven.misses())).await;
-            accept(listener, shared, state).await;
+            tokio::join!(
+                accept::accept(listener, shared.clone(), state.clone()),
+                out::comes_back(shared, state)
+            );
         }));
-        tracing::info!(%address, name = settings.instance.name.as_str(), "front started");
-        Ok(Front { address, side: side_address, members, stop, tasks, journal })
+        let name = settings.instance.name.as_str().to_string();
+        tracing::info!(%address, name, "front started");
+        Ok(Front { address, side: side_address, members, stop, tasks, journal, fleet: of_fleet, name })
     }
 
     /// Stops at once: connections are closed, sessions forgotten, the last list is kept.
@@ -219,56 +230,3 @@
         () = task => {}
     }
 }
-
-/// Takes connections, `listen.connections` at a time; one past them gets 503 at once.
-/// While the front is closed after deaths, each gets 503 with when to come back.
-async fn accept(listener: TcpListener, shared: Arc<Shared>, state: Arc<side::State>) {
-    let room = Arc::new(Semaphore::new(shared.settings.listen.connections.count()));
-    let turning = Arc::new(Semaphore::new(TURNED_AWAY));
-    // Dropped with this future, and the connections' tasks with it.
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    // Out of file descriptors, most likely: others must end first.
-                    tracing::warn!(error = %e, "cannot accept");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            },
-            Some(_) = connections.join_next() => continue,
-        };
-        let _ = stream.set_nodelay(true);
-        let closed = state.closed_for(shared.clock.now());
-        let stepped_back = state.stepped_back().is_some();
-        let (after, reason) = match (stepped_back, closed.is_zero()) {
-            (true, _) => (Duration::from_secs(1), "two-lives"),
-            (_, true) => (Duration::from_secs(1), "front-full"),
-            (_, false) => (closed, "backing-off"),
-        };
-        match room.clone().try_acquire_owned() {
-            Ok(permit) if closed.is_zero() && !stepped_back => {
-                let shared = shared.clone();
-                connections.spawn(async move {
-                    viewer::serve(stream, shared).await;
-                    drop(permit);
-                });
-            }
-            // Past that bound too, it is just closed.
-            _ => {
-                if let Ok(permit) = turning.clone().try_acquire_owned() {
-                    let shared = shared.clone();
-                    connections.spawn(async move {
-                        viewer::turn_away(stream, after, reason, &shared).await;
-                        drop(permit);
-                    });
-                }
-            }
-        }
-    }
-}
-
-/// Most connections past the cap that are being told so at a time.
-const TURNED_AWAY: usize = 256;
--- a/crates/front/src/members.rs
+++ b/crates/front/src/members.rs
@@ -4,6 +4,11 @@
 //! member's state is behind a lock that is held for one datagram, one tick or one page; the desk looks at the part
 //! under it before each step, by a clock that goes on while the process stands still.
 
+mod keys;
+mod page;
+mod permits;
+
+use crate::out::{Gate, Out};
 use crate::StartError;
 use bytes::Bytes;
 use cloverhollow_http::{RequestHead, Target};
@@ -27,8 +32,6 @@
 pub(crate) const NONCE: &str = "nonce";
 /// Time for one such question.
 const WITHIN: Duration = Duration::from_secs(2);
-/// Shortest secret, bytes.
-const SHORTEST: usize = 16;
 
 /// This front as a member.
 #[derive(Debug)]
@@ -36,23 +39,9 @@
     clock: Clock,
     counts: bool,
     member: Mutex<Member>,
-}
-
-/// Reads a key's secret: hexadecimal digits in a file that is its owner's alone.
-fn secret(path: &std::path::Path) -> Result<Vec<u8>, String> {
-    use std::os::unix::fs::PermissionsExt;
-    let meta = std::fs::metadata(path).map_err(|e| e.to_string())?;
-    if meta.permissions().mode() & 0o077 != 0 {
-        return Err("others may read it (chmod 600)".into());
-    }
-    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
-    let text = text.trim();
-    let byte = |i: usize| text.get(i..i + 2).and_then(|t| u8::from_str_radix(t, 16).ok());
-    let bytes: Option<Vec<u8>> = (0..text.len()).step_by(2).map(byte).collect();
-    match bytes.filter(|b| b.len() >= SHORTEST) {
-        Some(bytes) => Ok(bytes),
-        None => Err(format!("not {SHORTEST} or more bytes as hexadecimal digits")),
-    }
+    /// Where permits are on.
+    out: Option<Mutex<Out>>,
+    pub(crate) gate: Gate,
 }
 
 impl Fleet {
@@ -72,7 +61,7 @@
         let bound = socket.local_addr().map_err(listening)?;
         let mut keys = Vec::new();
         for k in &m.keys {
-            let secret = secret(&k.file)
+            let secret = keys::secret(&k.file)
                 .map_err(|what| StartError::Key { file: k.file.display().to_string(), what })?;
             keys.push(Key { id: k.id.get() as u32, secret });
         }
@@ -102,8 +91,9 @@
             seed: fastrand::u64(..),
         };
         let counts = !m.witnesses.is_empty();
+        let out = Out::open(settings, clock.now(), set.me.address, set.me.life.token).map(Mutex::new);
         let member = Mutex::new(Member::new(clock.now(), set));
-        Ok(Some((Arc::new(Fleet { clock, counts, member }), socket)))
+        Ok(Some((Arc::new(Fleet { clock, counts, member, out, gate: Gate::default() }), socket)))
     }
 
     fn member(&self) -> MutexGuard<'_, Member> {
@@ -126,40 +116,6 @@
         self.member().records(nonce)
     }
 
-    /// What operators see.
-    pub(crate) fn page(&self) -> serde_json::Value {
-        let now = self.clock.now();
-        let ago = |t: Duration| now.saturating_sub(t).as_millis() as u64;
-        let m = self.member();
-        let (me, view, status, part) = (m.me(), m.view(), m.status(), m.part());
-        let seen = view.members.values().map(|s| {
-            serde_json::json!({
-                "name": &*s.who.name, "hall": &*s.who.hall, "address": s.who.address, "side": s.who.side,
-                "life": s.who.life.to_string(), "sure": s.sure, "since_ms": ago(s.since),
-                "heard_ms": s.heard.map(ago), "why": s.why,
-            })
-        });
-        let refused = status.refused.iter().map(|(why, n)| (why.to_string(), (*n).into()));
-        serde_json::json!({
-            "me": {"name": &*me.name, "hall": &*me.hall, "address": me.address, "life": me.life.to_string()},
-            "view": {"number": view.number, "at_least": view.at_least(), "at_most": view.at_most()},
-            "count": {
-                "asked_for": self.counts,
-                "in_force": part.and_then(|p| p.at(now)),
-                "fronts": part.map(|p| p.count),
-                "from_ms": part.map(|p| p.from.saturating_sub(now).as_millis() as u64),
-                "for_ms": part.map(|p| p.until.saturating_sub(now).as_millis() as u64),
-            },
-            "witness": m.witness().map(|w| w.holders()),
-            "stepped_back": m.stepped_back().map(|w| w.address),
-            "datagrams": {
-                "taken": status.taken, "sent": status.sent, "sent_bytes": status.sent_bytes,
-                "refused": serde_json::Map::from_iter(refused),
-            },
-            "members": seen.collect::<Vec<_>>(),
-        })
-    }
-
     /// What is to be sent, and what happened, by the log.
     fn done(&self) -> Vec<Outgoing> {
         let mut m = self.member();
@@ -197,8 +153,9 @@
             Ok(None) => Err("no answer that can be used".into()),
             Err(_) => Err("no answer in time".into()),
         };
-        if let Err(error) = taken {
-            tracing::info!(%peer, error, "a member's list is not taken");
+        match taken {
+            Ok(()) => self.heard_list(),
+            Err(error) => tracing::info!(%peer, error, "a member's list is not taken"),
         }
     }
 }
@@ -215,18 +172,20 @@
 /// Runs until `stop`, then leaves with a word.
 pub(crate) async fn run(fleet: Arc<Fleet>, socket: UdpSocket, every: Duration, stop: CancellationToken) {
     let clock = fleet.clock;
-    let mut next_sync = clock.now() + every.mul_f64(fastrand::f64());
+    let mut next_sync = clock.now() + fleet.sync_every(every).mul_f64(fastrand::f64());
     // One byte more than any may have: a longer one is seen to be too long.
     let mut buf = [0; MOST_DATAGRAM + 1];
     let mut asking = std::pin::pin!(None);
     loop {
+        fleet.turn();
         for Outgoing { to, bytes } in fleet.done() {
             // A full socket buffer or a peer that refuses loses it, as the network may.
             let _ = socket.try_send_to(&bytes, to);
         }
-        let due = fleet.member().next_due().min(next_sync);
+        let due = fleet.member().next_due().min(next_sync).min(fleet.out_due());
         tokio::select! {
             () = stop.cancelled() => break,
+            () = fleet.gate.turn.notified() => {}
             got = socket.recv_from(&mut buf) => {
                 if let Ok((n, from)) = got {
                     if let Err(why) = fleet.member().datagram(clock.now(), &buf[..n]) {
@@ -241,7 +200,7 @@
                 let now = clock.now();
                 fleet.member().tick(now);
                 if now >= next_sync {
-                    next_sync = now + every;
+                    next_sync = now + fleet.sync_every(every);
                     if let (true, Some(peer)) = (asking.is_none(), fleet.somebody()) {
                         asking.set(Some(fleet.ask(peer)));
                     }
--- /dev/null
+++ b/crates/front/src/out/kept.rs
@@ -0,0 +1,88 @@
+//! What is kept over a restart, in the small file `.out` beside `keep.file`: whose permits are to be given back, and what
+//! a witness promised and took.
+//!
+//! A witness's answer goes out once what it rests on is written, or not at all: the disk is waited for by a task of
+//! its own. Without a file nothing is kept: permits lapse by their lease, and a witness says that it forgot.
+
+use crate::clock::boot;
+use cloverhollow_out::Kept;
+use cloverhollow_settings::{FrontSettings, Outlives};
+use cloverhollow_store::beside;
+use serde::{Deserialize, Serialize};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// Most permits of earlier lives that are remembered; further ones lapse by their lease.
+pub(super) const MOST_OWED: usize = 4;
+
+/// The file's text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Leaf {
+    /// In which boot of the machine it was written.
+    boot: String,
+    /// Lives whose permit is not given back.
+    pub(super) owed: Vec<u64>,
+    /// The witness, where this front is one.
+    pub(super) clerk: Option<Kept>,
+}
+
+impl Leaf {
+    pub(super) fn new(owed: Vec<u64>, clerk: Option<Kept>) -> Leaf {
+        Leaf { boot: here(), owed, clerk }
+    }
+}
+
+/// The file.
+#[derive(Clone, Debug)]
+pub(crate) struct LeafFile {
+    path: PathBuf,
+    sync: bool,
+}
+
+impl LeafFile {
+    pub(super) fn of(settings: &FrontSettings) -> Option<LeafFile> {
+        let path = beside(settings.keep.file.as_deref()?, ".out");
+        Some(LeafFile { path, sync: settings.keep.outlives == Outlives::Machine })
+    }
+
+    /// What the last life left. What was not on the disk may be older than what went out before the machine fell:
+    /// then the witness forgot.
+    pub(super) fn read(&self) -> Leaf {
+        let text = match std::fs::read(&self.path) {
+            Ok(text) => text,
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Leaf::default(),
+            Err(error) => {
+                tracing::warn!(file = %self.path.display(), %error, "what was kept of permits is not read");
+                return Leaf::default();
+            }
+        };
+        let mut leaf: Leaf = serde_json::from_slice(&text).unwrap_or_else(|error| {
+            tracing::warn!(file = %self.path.display(), %error, "what was kept of permits is not used");
+            Leaf::default()
+        });
+        if !self.sync && leaf.boot != here() {
+            leaf.clerk = None;
+        }
+        leaf.owed.truncate(MOST_OWED);
+        leaf
+    }
+
+    /// Writes it whole, beside and then in its place.
+    pub(super) fn write(&self, leaf: &Leaf) -> std::io::Result<()> {
+        let new = beside(&self.path, ".new");
+        let mut file = std::fs::File::create(&new)?;
+        file.write_all(&serde_json::to_vec(leaf)?)?;
+        if self.sync {
+            file.sync_all()?;
+        }
+        std::fs::rename(&new, &self.path)?;
+        match self.path.parent().filter(|_| self.sync) {
+            Some(dir) if dir != Path::new("") => std::fs::File::open(dir)?.sync_all(),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn here() -> String {
+    format!("{:032x}", boot().0)
+}
--- /dev/null
+++ b/crates/front/src/out/mod.rs
@@ -0,0 +1,221 @@
+//! Permits to be out: this front's asker, and its witness's side where it is one, on the members' socket and tick.
+//!
+//! [`Out`] is the state, without I/O; [`crate::members`] hands it words and the time. Nothing decides here but
+//! `cloverhollow_out`.
+
+mod kept;
+mod leave;
+mod page;
+mod turn;
+mod world;
+
+pub use leave::Leave;
+pub(crate) use leave::{comes_back, keep, Gate};
+
+use cloverhollow_members::View;
+use cloverhollow_out::{
+    Asker, AskerSettings, Clerk, Granted, Limits, Most, Place, Register, Seen, Subject, Term, Word, World,
+};
+use cloverhollow_settings::FrontSettings;
+use kept::{Leaf, LeafFile};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Path at the side address by which a front is asked to go out when it may.
+pub(crate) const PATH: &str = "/v1/out";
+/// Between two asks: at least, and so much more by chance.
+const AGAIN: Duration = Duration::from_millis(250);
+/// The fleet is looked at when its view changes, and so often.
+const LOOK: Duration = Duration::from_millis(100);
+/// Most answers of the witness that wait for the disk; a further one is lost, as any may be.
+const MOST_HELD: usize = 256;
+
+/// What is asked of the register now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asks {
+    Grant,
+    GiveBack(u64),
+}
+
+/// A permit as the register named it.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    granted: Granted,
+    term: Term,
+    /// It may be used once so much has been tried to be written.
+    version: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Out {
+    name: String,
+    me: SocketAddr,
+    life: u64,
+    subject: Subject,
+    place: Place,
+    lease: Duration,
+    forget: Duration,
+    witnesses: Vec<SocketAddr>,
+    limits: Limits,
+    clerk: Option<Clerk>,
+    asker: Asker,
+    asks: Option<Asks>,
+    next_ask: Duration,
+    /// It was told to go out.
+    wanted: bool,
+    /// It takes viewers.
+    back: bool,
+    held: Option<Held>,
+    /// Lives that asked for a permit and have not given it back: earlier ones' once this one takes viewers, its own if
+    /// it stays.
+    owed: Vec<u64>,
+    /// A member's whole list came since the start.
+    listed: bool,
+    sure_at: Option<Duration>,
+    world: World,
+    /// By which view, and when.
+    looked: Option<(u64, Duration)>,
+    /// Why the last ask came to nothing.
+    reason: String,
+    register: Option<(Duration, Register)>,
+    file: Option<LeafFile>,
+    /// Rises with each change of what is kept.
+    version: u64,
+    tried: u64,
+    good: u64,
+    answers: VecDeque<(u64, SocketAddr, Word)>,
+    words: Vec<(SocketAddr, Word)>,
+}
+
+impl Out {
+    /// One that starts now, where permits are on. `me`: this front's datagrams' address; `life`: drawn at the start.
+    pub(crate) fn open(settings: &FrontSettings, now: Duration, me: SocketAddr, life: u64) -> Option<Out> {
+        let (set, m) = (&settings.out, &settings.members);
+        if !set.is_on() {
+            return None;
+        }
+        let file = LeafFile::of(settings);
+        let leaf = file.as_ref().map(LeafFile::read).unwrap_or_default();
+        let (lease, witnesses) = (set.lease_ms.get(), m.witnesses.clone());
+        let is_witness = witnesses.contains(&me);
+        let most = Most { fleet: set.fleet.value.get() as u16, hall: set.hall.get() as u16, rack: u16::MAX };
+        let none = Most { fleet: 0, hall: 0, rack: 0 };
+        let unsure_ms = m.suspicion_ms.get().as_millis() as u32;
+        let asker =
+            AskerSettings { me, life, witnesses: witnesses.clone(), longest: lease, seed: fastrand::u64(..) };
+        Some(Out {
+            name: settings.instance.name.as_str().into(),
+            me,
+            life,
+            subject: world::subject(settings.instance.name.as_str()),
+            place: world::place(settings.instance.hall.as_str()),
+            lease,
+            forget: set.forget_ms.get(),
+            witnesses,
+            limits: Limits { fronts: most, servers: none, copies: 0, cells: 0, free: None, unsure_ms },
+            clerk: is_witness.then(|| Clerk::new(now, me, life, lease, leaf.clerk)),
+            asker: Asker::new(asker),
+            asks: None,
+            next_ask: now,
+            wanted: false,
+            back: false,
+            held: None,
+            owed: leaf.owed,
+            listed: false,
+            sure_at: None,
+            world: World::default(),
+            reason: "not asked yet".into(),
+            register: None,
+            file,
+            version: 0,
+            tried: 0,
+            good: 0,
+            looked: None,
+            answers: VecDeque::new(),
+            words: Vec::new(),
+        })
+    }
+
+    /// Looks at the fleet.
+    pub(crate) fn look(&mut self, now: Duration, view: &View) {
+        if self.looked.is_some_and(|(number, at)| number == view.number && now < at + LOOK) {
+            return;
+        }
+        self.looked = Some((view.number, now));
+        if self.listed && world::sees_witnesses(view, &self.witnesses) {
+            self.sure_at = Some(now);
+        }
+        let unsure_for = self.sure_at.map_or(Duration::MAX, |at| now.saturating_sub(at));
+        self.world = world::world(now, view, self.forget, unsure_for);
+    }
+
+    /// A member's whole list came: who died before this front started is known.
+    pub(crate) fn set_listed(&mut self) {
+        self.listed = true;
+    }
+
+    pub(crate) fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// It takes viewers.
+    pub(crate) fn set_back(&mut self) {
+        self.back = true;
+    }
+
+    /// It is to go out, from now on or no more.
+    pub(crate) fn want(&mut self, wanted: bool) {
+        self.wanted = wanted;
+        if !wanted {
+            // No use of it from here on: since it asked it owes it, and gives it back.
+            self.held = None;
+        }
+    }
+
+    /// The permit under which it may go now: looked at again at each use.
+    pub(crate) fn may_leave(&self, now: Duration) -> Option<Term> {
+        self.held.filter(|h| h.granted.at(now) && h.version <= self.tried).map(|h| h.term)
+    }
+
+    /// Why the last ask came to nothing, in words.
+    pub(crate) fn why_not(&self) -> String {
+        self.reason.clone()
+    }
+
+    fn owe(&mut self, life: u64) {
+        if !self.owed.contains(&life) {
+            self.owed.push(life);
+            self.owed.truncate(kept::MOST_OWED);
+            self.version += 1;
+        }
+    }
+
+    /// Whether something has changed since the last try to write.
+    pub(crate) fn has_to_keep(&self) -> bool {
+        self.version > self.tried || !self.answers.is_empty()
+    }
+
+    /// What is to be written.
+    pub(crate) fn to_keep(&self) -> (u64, Option<(LeafFile, Leaf)>) {
+        let leaf = || Leaf::new(self.owed.clone(), self.clerk.as_ref().map(Clerk::kept));
+        (self.version, self.file.clone().map(|file| (file, leaf())))
+    }
+
+    /// That was written, or could not be: then the answers that rest on it are not given.
+    pub(crate) fn set_kept(&mut self, version: u64, good: bool) {
+        self.tried = self.tried.max(version);
+        if good {
+            self.good = self.good.max(version);
+        }
+        while let Some((_, to, word)) = self.answers.pop_front_if(|a| a.0 <= version) {
+            if good {
+                self.words.push((to, word));
+            }
+        }
+    }
+
+    fn seen<'a>(world: &'a World, limits: &'a Limits) -> Seen<'a> {
+        Seen { world, limits }
+    }
+}
--- /dev/null
+++ b/crates/front/src/out/page.rs
@@ -0,0 +1,41 @@
+//! What operators see of permits.
+
+use super::{world, Out};
+use cloverhollow_members::View;
+use cloverhollow_out::{Sight, Standing};
+use serde_json::{json, Value};
+use std::time::Duration;
+
+impl Out {
+    /// The register as last heard, who counts as out, and what this front is and wants.
+    pub(crate) fn page(&self, now: Duration, view: &View) -> Value {
+        let ms = |d: Duration| d.as_millis() as u64;
+        let name = |subject| {
+            let of = view.members.values().find(|s| world::subject(&s.who.name) == subject);
+            of.map_or_else(|| world::digits(subject), |s| s.who.name.to_string())
+        };
+        let permits = self.register.iter().flat_map(|(_, r)| &r.permits).map(|p| {
+            json!({"name": name(p.subject), "subject": world::digits(p.subject), "term": p.term.0,
+                "lease_ms": p.lease_ms, "holder": format!("{:016x}", p.holder)})
+        });
+        let away = self.world.known.iter().filter(|(_, k)| k.standing != Standing::Serves);
+        let sight = self.clerk.as_ref().map(|c| match c.sight(now) {
+            Sight::Sees => "sees",
+            Sight::Waited => "waited",
+            Sight::Blind => "blind",
+        });
+        let unsure = (self.world.unsure_for != Duration::MAX).then_some(ms(self.world.unsure_for));
+        json!({
+            "fleet": self.limits.fronts.fleet, "hall": self.limits.fronts.hall,
+            "wanted": self.wanted, "held": self.held.is_some_and(|h| h.granted.at(now)),
+            "owed": self.owed.len(), "reason": self.reason, "witness": sight, "unsure_ms": unsure,
+            "register": self.register.as_ref().map(|(at, r)| json!({
+                "term": r.term.0, "heard_ms": ms(now.saturating_sub(*at)), "permits": permits.collect::<Vec<_>>(),
+            })),
+            "counted_out": away.map(|(s, k)| json!({
+                "name": name(*s), "subject": world::digits(*s),
+                "why": if k.standing == Standing::Gone { "gone" } else { "doubted" },
+            })).collect::<Vec<_>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/front/src/out/turn.rs
@@ -0,0 +1,164 @@
+//! What comes in and what is due: words in, words out.
+
+use super::{world, Asks, Held, Out, AGAIN, MOST_HELD};
+use cloverhollow_out::{Change, Outcome, Register, Word};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Out {
+    /// A word came in a datagram; what cannot be read is nothing.
+    pub(crate) fn datagram(&mut self, now: Duration, bytes: &[u8]) {
+        if let Ok(word) = postcard::from_bytes::<Word>(bytes) {
+            self.word(now, word);
+        }
+    }
+
+    fn word(&mut self, now: Duration, word: Word) {
+        match word {
+            Word::Prepare { .. } | Word::Accept { .. } => {
+                let Some(clerk) = &mut self.clerk else { return };
+                let before = clerk.kept();
+                let answer = clerk.word(now, &word);
+                self.version += u64::from(clerk.kept() != before);
+                if let Some(register) = clerk.taken().cloned() {
+                    self.heard(now, register);
+                }
+                // Guards against an answer that a witness forgets: it waits until what it rests on is written.
+                match answer {
+                    Some(answer) if self.version <= self.good => self.words.push(answer),
+                    Some((to, word)) if self.answers.len() < MOST_HELD => {
+                        self.answers.push_back((self.version, to, word));
+                    }
+                    _ => {}
+                }
+            }
+            word => {
+                if let Word::Promise { taken: Some((_, register)), .. } = &word {
+                    self.heard(now, register.clone());
+                }
+                let seen = Out::seen(&self.world, &self.limits);
+                let words = self.asker.word(now, word, seen);
+                self.words.extend(words);
+            }
+        }
+    }
+
+    fn heard(&mut self, now: Duration, register: Register) {
+        if self.register.as_ref().is_none_or(|(_, old)| old.term <= register.term) {
+            self.register = Some((now, register));
+        }
+    }
+
+    /// Does what is due, by the view that [`Out::look`] saw last.
+    pub(crate) fn tick(&mut self, now: Duration) {
+        if let Some(outcome) = self.asker.take_outcome() {
+            self.came(now, outcome);
+        }
+        if !self.asker.is_busy() && now >= self.next_ask {
+            self.ask(now);
+        }
+        let words = self.asker.due(now);
+        self.words.extend(words);
+    }
+
+    /// When [`Out::tick`] is next due; none: when something comes.
+    pub(crate) fn next_due(&self, now: Duration) -> Option<Duration> {
+        let asks = self.next(now).map(|_| self.next_ask);
+        self.asker.next_due().or(asks)
+    }
+
+    /// Words to be sent, since the last call; those to this front itself are heard at once.
+    pub(crate) fn take_words(&mut self, now: Duration) -> Vec<(SocketAddr, Word)> {
+        let mut out = Vec::new();
+        // Each round of words to itself is answered by shorter ones; a bound all the same.
+        for _ in 0..16 {
+            if self.words.is_empty() && self.answers.is_empty() {
+                break;
+            }
+            if self.file.is_none() {
+                self.set_kept(self.version, true);
+            }
+            for (to, word) in std::mem::take(&mut self.words) {
+                if to == self.me {
+                    self.word(now, word);
+                } else {
+                    out.push((to, word));
+                }
+            }
+        }
+        if let Some(outcome) = self.asker.take_outcome() {
+            self.came(now, outcome);
+        }
+        out
+    }
+
+    /// What it would ask now. What an earlier life owes goes first: a permit has one holder.
+    fn next(&self, now: Duration) -> Option<Asks> {
+        // Its own is given back only where it is not to go, and so does not use it.
+        let owed = self.owed.iter().filter(|l| if **l == self.life { !self.wanted } else { self.back });
+        // One that lapsed while the process stood still is none.
+        let lacks = self.wanted && !self.held.is_some_and(|h| h.granted.at(now));
+        owed.copied().next().map(Asks::GiveBack).or(lacks.then_some(Asks::Grant))
+    }
+
+    fn ask(&mut self, now: Duration) {
+        let Some(next) = self.next(now) else { return };
+        if next == Asks::Grant {
+            // Written before it is used: whatever becomes of this life, the next one gives it back.
+            self.held = None;
+            self.owe(self.life);
+        }
+        let change = match next {
+            Asks::GiveBack(_) => Change::GiveBack { subject: self.subject },
+            Asks::Grant => Change::Grant {
+                subject: self.subject,
+                place: self.place,
+                lease_ms: self.lease.as_millis() as u32,
+                release: None,
+            },
+        };
+        self.asker.give_for(if let Asks::GiveBack(life) = next { Some(life) } else { None });
+        self.next_ask = now + AGAIN + AGAIN.mul_f64(fastrand::f64());
+        if self.asker.ask(now, change) {
+            self.asks = Some(next);
+        }
+    }
+
+    fn came(&mut self, now: Duration, outcome: Outcome) {
+        let Some(asked) = self.asks.take() else { return };
+        let subject = world::digits(self.subject);
+        match (asked, outcome) {
+            (Asks::GiveBack(life), Outcome::Done(register, _)) => {
+                self.owed.retain(|l| *l != life);
+                self.version += 1;
+                tracing::info!(
+                    member = self.name.as_str(),
+                    term = register.term.0,
+                    subject,
+                    reason = "it is back",
+                    "permit given back"
+                );
+                self.heard(now, register);
+            }
+            (Asks::Grant, Outcome::Done(register, granted)) => {
+                let term = register.term;
+                self.heard(now, register);
+                // Where it is not wanted any more it is given back.
+                if let Some(granted) = granted.filter(|_| self.wanted) {
+                    self.held = Some(Held { granted, term, version: self.version });
+                    tracing::info!(
+                        member = self.name.as_str(),
+                        term = term.0,
+                        subject,
+                        reason = "told to go",
+                        "permit had"
+                    );
+                }
+            }
+            (_, Outcome::Denied(why)) => self.reason = why.to_string(),
+            (_, Outcome::NotHeard) => self.reason = "no majority of the witnesses answered".into(),
+            (_, Outcome::Unknown) => self.reason = "no majority of the witnesses took it in time".into(),
+        }
+        self.next_ask = now + AGAIN + AGAIN.mul_f64(fastrand::f64());
+    }
+}
--- /dev/null
+++ b/crates/front/src/out/world.rs
@@ -0,0 +1,63 @@
+//! The fleet as permits are judged by: made from the members' view.
+//!
+//! Who may be wrong, and for how long:
+//!
+//! - A front that died counts as there until the suspicion is over: some seconds. Nobody goes beyond the limits of the
+//!   permits meanwhile.
+//! - A front that left counts as out, by its permit or by the view, until it is back. Whether one that is gone
+//!   left for good or died, the view does not tell: it counts as out for `out.forget_ms` and then not at all. A
+//!   front that is cut off for longer is thus forgotten, and one more may go than the limit says.
+//! - A front that has just started knows nothing of who died before: its view is unsure until it has a member's whole
+//!   list. Where that member has just started too, both may not know of the dead one; the permits hold all the same.
+//! - A front that sees no majority of the witnesses as there is on the small side of a cut: its view is unsure.
+
+use cloverhollow_members::{Sure, View};
+use cloverhollow_out::{Known, Place, Standing, Subject, World};
+use cloverhollow_settings::title_id;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A front, whichever of its lives.
+pub(super) fn subject(name: &str) -> Subject {
+    Subject::Front(title_id(name))
+}
+
+/// Where it stands.
+pub(super) fn place(hall: &str) -> Place {
+    let digest = title_id(hall);
+    Place { hall: (digest ^ digest >> 32) as u32, rack: None, cell: None }
+}
+
+/// A subject as operators read it in log and page.
+pub(super) fn digits(subject: Subject) -> String {
+    match subject {
+        Subject::Front(n) => format!("{n:016x}"),
+        Subject::Server(n) => format!("server {n}"),
+    }
+}
+
+/// Whether a majority of the witnesses is there.
+pub(super) fn sees_witnesses(view: &View, witnesses: &[SocketAddr]) -> bool {
+    let there = |w: &&SocketAddr| view.members.get(w).is_some_and(|s| s.sure == Sure::There);
+    witnesses.iter().filter(there).count() > witnesses.len() / 2
+}
+
+/// The fleet, each front by its youngest life.
+pub(super) fn world(now: Duration, view: &View, forget: Duration, unsure_for: Duration) -> World {
+    let mut youngest = BTreeMap::new();
+    for seen in view.members.values() {
+        let of = youngest.entry(subject(&seen.who.name)).or_insert(seen);
+        if of.who.life < seen.who.life {
+            *of = seen;
+        }
+    }
+    let counts = |s: &&cloverhollow_members::Seen| s.sure != Sure::Gone || now < s.since + forget;
+    let all = youngest.into_iter().filter(|(_, s)| counts(s));
+    let known = |s: &cloverhollow_members::Seen| Known {
+        place: place(&s.who.hall),
+        standing: Standing::from(s.sure),
+        link: 0,
+    };
+    World { known: all.map(|(subject, s)| (subject, known(s))).collect(), unsure_for }
+}
--- a/crates/front/src/side.rs
+++ b/crates/front/src/side.rs
@@ -1,11 +1,14 @@
 //! The side address: `/health` and `/metrics` for operators, `/v1/knowledge` for peers.
 
+mod feed;
+
 use crate::members::{self, Fleet};
-use crate::peers::{AFTER, FORMAT_ARG, FROM, HOLD_OFF, NONCE, PATH};
+use crate::out;
+use crate::peers::PATH;
 use crate::Shared;
 use bytes::Bytes;
-use cloverhollow_http::{Limits, RequestFrame, RequestHead, ResponseHead};
-use cloverhollow_knowledge::{wire, Feeds, Level, Why, MOST_PEERS};
+use cloverhollow_http::{Limits, Method, RequestFrame, ResponseHead};
+use cloverhollow_knowledge::{Feeds, Level, Why, MOST_PEERS};
 use cloverhollow_net::{answer, ServerConn, ServerSide};
 use cloverhollow_session::ServerList;
 use futures_util::StreamExt;
@@ -104,6 +107,11 @@
         self.fleet.as_ref()?.stepped_back()
     }
 
+    /// The other fronts, where they are known.
+    pub(crate) fn fleet(&self) -> Option<Arc<Fleet>> {
+        self.fleet.clone()
+    }
+
     /// How many fronts the decisions may reckon with, where fronts are counted: [`Fleet::counted`].
     pub(crate) fn counted(&self) -> Option<Option<usize>> {
         self.fleet.as_ref()?.counted()
@@ -118,15 +126,6 @@
     }
 }
 
-/// Ends a feed however its connection ends.
-struct Feeding<'a>(&'a State);
-
-impl Drop for Feeding<'_> {
-    fn drop(&mut self) {
-        lock(&self.0.feeds).end();
-    }
-}
-
 pub(crate) async fn run(listener: TcpListener, shared: Arc<Shared>, state: Arc<State>) {
     let room = Arc::new(tokio::sync::Semaphore::new(MOST));
     // Dropped with this future, and the connections' tasks with it.
@@ -159,8 +158,9 @@
             Some(fleet) => (200, fleet.page().to_string()),
             None => (404, String::new()),
         },
-        members::PATH => return tell_members(&mut conn, &request, state).await,
-        PATH => return knowledge(&mut conn, &request, shared, state).await,
+        out::PATH => go_out(state, &request.method),
+        members::PATH => return feed::tell_members(&mut conn, &request, state).await,
+        PATH => return feed::knowledge(&mut conn, &request, shared, state).await,
         _ => (404, String::new()),
     };
     say(&mut conn, ResponseHead::new(status, body.len()), body).await;
@@ -171,6 +171,23 @@
     let _ = answer(conn, head, body).await;
 }
 
+/// An operator asks it to go out when it may.
+fn go_out(state: &State, method: &Method) -> (u16, String) {
+    match state.fleet().filter(|f| f.out().is_some()) {
+        None => (404, String::new()),
+        Some(_) if *method != Method::Post => (405, String::new()),
+        Some(fleet) => {
+            fleet.gate.asked.notify_one();
+            (202, serde_json::json!({"asked": true}).to_string())
+        }
+    }
+}
+
+/// Whether `/health` says that it is ready.
+pub(crate) fn is_ready(shared: &Shared, state: &State) -> bool {
+    health(shared, state).0 == 200
+}
+
 fn health(shared: &Shared, state: &State) -> (u16, String) {
     let serving = state.serving.load(Relaxed);
     let (level, level_why) = *lock(&state.level);
@@ -220,62 +237,3 @@
     text.push_str(&format!("cloverhollow_level {}\n", lock(&state.level).0 as u8));
     text
 }
-
-/// A member asks for all that this one holds of the others.
-async fn tell_members(conn: &mut ServerConn, request: &RequestHead, state: &State) {
-    let nonce = request.target.argument(members::NONCE).and_then(|t| t.parse::<u64>().ok());
-    let body = nonce.and_then(|nonce| state.fleet.as_ref()?.records(nonce));
-    let status = if body.is_some() { 200 } else { 404 };
-    let body = body.unwrap_or_default();
-    say(conn, ResponseHead::new(status, body.len()), body).await;
-}
-
-/// A peer asks: the whole, a delta, or the rest of what was cut off.
-async fn knowledge(conn: &mut ServerConn, request: &RequestHead, shared: &Shared, state: &State) {
-    let number = |name: &str| request.target.argument(name).and_then(|t| t.parse::<u64>().ok());
-    let Some(nonce) = number(NONCE) else { return say(conn, ResponseHead::new(400, 0), Bytes::new()).await };
-    if number(FORMAT_ARG) != Some(wire::FORMAT.into()) {
-        return say(conn, ResponseHead::new(406, 0), Bytes::new()).await;
-    }
-    let begun = lock(&state.feeds).begin();
-    if let Err(refused) = begun {
-        let mut head = ResponseHead::new(503, 0);
-        head.headers.push("retry-after", refused.after.as_secs_f64().ceil().to_string());
-        head.headers.push(HOLD_OFF, refused.after.as_millis().to_string());
-        return say(conn, head, Bytes::new()).await;
-    }
-    let _feeding = Feeding(state);
-    shared.stats.peer_fed.fetch_add(1, Relaxed);
-    let now = shared.clock.now();
-    let text = |name: &str| request.headers.text(name);
-    let tag = text("if-range").and_then(|t| t.trim_matches('"').parse().ok());
-    let from = text("range").and_then(|r| r.strip_prefix("bytes=")?.strip_suffix('-')?.parse::<usize>().ok());
-    let kept = tag.and_then(|tag| lock(&state.feeds).kept(now, tag));
-    let (status, kept, from) = match (kept, from) {
-        (Some(kept), Some(from)) if from <= kept.bytes.len() => (206, kept, from),
-        _ => {
-            if let Some(peer) = request.target.argument(FROM).and_then(|a| a.parse().ok()) {
-                state.set_peers(vec![peer]);
-            }
-            let peers = lock(&state.peers).iter().copied().take(MOST_PEERS).collect();
-            let level = lock(&state.level).0;
-            let begun = std::time::Instant::now();
-            let message = shared.shelf.view().message(now, nonce, number(AFTER), level, peers);
-            let Ok(bytes) = message.encode() else {
-                return say(conn, ResponseHead::new(500, 0), Bytes::new()).await;
-            };
-            shared.stats.peer_fed_us.fetch_add(begun.elapsed().as_micros() as u64, Relaxed);
-            (200, lock(&state.feeds).keep(now, bytes), 0)
-        }
-    };
-    let rest = Bytes::copy_from_slice(&kept.bytes[from..]);
-    shared.stats.peer_fed_bytes.fetch_add(rest.len() as u64, Relaxed);
-    let mut head = ResponseHead::new(status, rest.len());
-    head.headers.push("content-type", "application/vnd.cloverhollow.knowledge");
-    head.headers.push("etag", format!("\"{}\"", kept.tag));
-    if status == 206 {
-        let last = kept.bytes.len().saturating_sub(1);
-        head.headers.push("content-range", format!("bytes {from}-{last}/{}", kept.bytes.len()));
-    }
-    say(conn, head, rest).await;
-}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -17,7 +17,7 @@
 mod words;
 
 pub use heads::{Heads, Part};
-pub use member::{Member, MemberSettings, Notice, Outgoing, Status};
+pub use member::{Member, MemberSettings, Notice, Outgoing, Status, MOST_OTHER};
 pub use seal::{Key, Keys, Refused, Sealer, MOST_BODY, MOST_DATAGRAM, MOST_SOURCES};
 pub use swim::{Record, Swim, SwimSettings, MOST_MEMBERS};
 pub use view::{Seen, Sure, View};
--- a/crates/members/src/member.rs
+++ b/crates/members/src/member/mod.rs
@@ -1,66 +1,21 @@
 //! A member behind one door: datagrams in, datagrams out, a clock from outside.
 
+mod other;
+mod told;
+
+pub use other::MOST_OTHER;
+pub use told::{MemberSettings, Notice, Outgoing, Status};
+
 use crate::heads::{Heads, Part};
-use crate::seal::{Key, Keys, Refused, Sealer};
-use crate::swim::{Record, Swim, SwimSettings};
+use crate::seal::{Keys, Refused, Sealer};
+use crate::swim::{Record, Swim};
 use crate::view::View;
 use crate::who::{Life, Who};
 use crate::witness::Witness;
 use crate::words::Word;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// What a member is told at its start.
-#[derive(Clone, Debug)]
-pub struct MemberSettings {
-    /// Itself.
-    pub me: Who,
-    /// Keys that datagrams are taken under; the first one seals.
-    pub keys: Vec<Key>,
-    /// How the view is kept.
-    pub swim: SwimSettings,
-    /// How long a count holds.
-    pub lease: Duration,
-    /// Where the witnesses are; this member is one if its own address is among them.
-    pub witnesses: Vec<SocketAddr>,
-    /// Of random numbers.
-    pub seed: u64,
-}
-
-/// A datagram to be sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Outgoing {
-    /// Where.
-    pub to: SocketAddr,
-    /// Sealed.
-    pub bytes: Vec<u8>,
-}
-
-/// What an operator should hear of.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Notice {
-    /// The process stood still for so long; what it believed is doubted anew.
-    StoodStill(Duration),
-    /// The others held this life for gone: it goes on as this one.
-    Risen(Who),
-    /// Another, younger process bears this one's name.
-    StepBack(Who),
-}
-
-/// Figures since the start.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Status {
-    /// Datagrams taken.
-    pub taken: u64,
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes sent.
-    pub sent_bytes: u64,
-    /// Datagrams refused, by why.
-    pub refused: BTreeMap<Refused, u64>,
-}
-
 /// One member.
 #[derive(Debug)]
 pub struct Member {
@@ -72,6 +27,7 @@
     out: Vec<Outgoing>,
     notices: Vec<Notice>,
     status: Status,
+    other: Vec<Vec<u8>>,
 }
 
 impl Member {
@@ -88,6 +44,7 @@
             out: Vec::new(),
             notices: Vec::new(),
             status: Status::default(),
+            other: Vec::new(),
         }
     }
 
@@ -121,6 +78,7 @@
                 self.heads.counted(now, counted);
                 Ok(())
             }
+            Word::Other(bytes) => self.hear_other(bytes),
         }
     }
 
--- a/crates/members/src/seal.rs
+++ b/crates/members/src/seal.rs
@@ -58,6 +58,9 @@
     /// More members than may be known.
     #[error("too many members")]
     TooMany,
+    /// More words of another crate than may wait.
+    #[error("too many words wait")]
+    TooManyWords,
 }
 
 /// The numbers heard of one sender (RFC 4303, 3.4.3).
--- a/crates/members/src/words.rs
+++ b/crates/members/src/words.rs
@@ -12,6 +12,8 @@
     Renew(Renew),
     /// A witness's answer.
     Counted(Counted),
+    /// A word of another crate that stands on this one; not read here.
+    Other(Vec<u8>),
 }
 
 /// A member renews its lease and asks how many hold one.
--- a/crates/out/src/answers.rs
+++ b/crates/out/src/answers.rs
@@ -1,6 +1,7 @@
 //! A front's side: what it makes of witnesses' answers.
 
 use crate::asker::{Asker, Words};
+use crate::change::Change;
 use crate::job::{Outcome, Phase, Promised, AGAIN};
 use crate::limits::Seen;
 use crate::types::*;
@@ -59,7 +60,8 @@
         value.term = value.term.max(self.floor);
         let lapsed = heard.values().flat_map(Promised::over).collect();
         value.lapse(&lapsed);
-        if let Err(why) = value.apply((self.set.life, self.ask), &job.change, &lapsed, seen) {
+        let me = if let Change::GiveBack { .. } = job.change { self.gives } else { self.set.life };
+        if let Err(why) = value.apply((me, self.ask), &job.change, &lapsed, seen) {
             // A value of an earlier try may still get through.
             let outcome = if job.may_be { Outcome::Unknown } else { Outcome::Denied(why) };
             self.end(outcome);
--- a/crates/out/src/asker.rs
+++ b/crates/out/src/asker.rs
@@ -36,6 +36,8 @@
     pub(crate) outcome: Option<Outcome>,
     /// The try that was done last: its ballot, its first question, its value.
     pub(crate) last: Option<(Ballot, Duration, Register)>,
+    /// Whose permits it gives back: its own life's, or an earlier one's.
+    pub(crate) gives: u64,
 }
 
 pub(crate) type Words = Vec<(SocketAddr, Word)>;
@@ -44,7 +46,15 @@
     /// One that has asked nothing.
     pub fn new(set: AskerSettings) -> Asker {
         let ballot = Ballot { round: 0, asker: set.life };
-        Asker { set, ballot, ask: 0, floor: Term::default(), job: None, outcome: None, last: None }
+        let gives = set.life;
+        Asker { set, ballot, ask: 0, floor: Term::default(), job: None, outcome: None, last: None, gives }
+    }
+
+    /// From now on it gives back the permits of that life, an earlier one of this very front that is over and
+    /// uses none any more; its own life's again with `None`. Its tries and asks are its own in either case: those
+    /// of the earlier life may be on their way still.
+    pub fn give_for(&mut self, earlier: Option<u64>) {
+        self.gives = earlier.unwrap_or(self.set.life);
     }
 
     /// Asks for a change; `false`: one is under way, or the lease is too long.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! An error names file, line, field and allowed range. [`FrontSettings::decisions`] gives the decision
 //! module's settings; nothing is decided here.
 
+mod check;
 mod fields;
 mod mapping;
 mod ranged;
@@ -165,27 +166,7 @@
                 );
             }
         }
-        let m = &self.members;
-        if m.listen.is_some() && m.keys.is_empty() {
-            return fault(0, "members.keys".into(), "0 keys are not in 1..=16: datagrams are sealed".into());
-        }
-        if m.keys.len() > 16 {
-            return fault(0, "members.keys".into(), format!("{} keys are not in 1..=16", m.keys.len()));
-        }
-        if let Some(i) = (1..m.keys.len()).find(|i| m.keys[..*i].iter().any(|k| k.id == m.keys[*i].id)) {
-            return fault(0, format!("members.keys[{i}].id"), format!("{} comes twice", m.keys[i].id.get()));
-        }
-        for (field, list) in [("members.seeds", &m.seeds), ("members.witnesses", &m.witnesses)] {
-            if list.len() > 64 {
-                return fault(0, field.into(), format!("{} addresses are not in 0..=64", list.len()));
-            }
-            if let Some(i) = (1..list.len()).find(|i| list[..*i].contains(&list[*i])) {
-                return fault(0, format!("{field}[{i}]"), format!("{} comes twice", list[i]));
-            }
-        }
-        if m.answer_ms.get() * 2 > m.probe_ms.get() {
-            return fault(0, "members.answer_ms".into(), "over half of members.probe_ms".into());
-        }
+        self.check_members(file)?;
         if self.discovery.again_ms.get() > self.discovery.again_most_ms.get() {
             return fault(0, "discovery.again_ms".into(), "over discovery.again_most_ms".into());
         }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -45,6 +45,14 @@
             "members: {witnesses: [127.0.0.1:1, 127.0.0.1:1]}\n",
             "members.witnesses[1]: 127.0.0.1:1 comes twice",
         ),
+        ("out:\n  fleet: 21\n", "a.yaml:2: out.fleet: 21 is not in 0..=20"),
+        ("out:\n  hall: 0\n", "a.yaml:2: out.hall: 0 is not in 1..=20"),
+        ("out:\n  lease_ms: 20\n", "a.yaml:2: out.lease_ms: 20 ms is not in 1000..=3600000 ms"),
+        ("out:\n  fleet: 1\n", "a.yaml:2: out.fleet: needs members.listen and members.witnesses"),
+        (
+            "members: {listen: 127.0.0.1:1, keys: [{id: 1, file: k}]}\nout: {fleet: 1}\n",
+            "a.yaml:2: out.fleet: needs members.listen and members.witnesses",
+        ),
         ("listen: [\n", "a.yaml:"),
         ("side: {}\nside: {}\n", "a.yaml:2: file: duplicate mapping key: side"),
     ];
