A life that starts counts as out until it has said that it takes viewers

Cause: with one front killed and started again, its next life is in the view before it is ready, and holds no permit: seen by a test whose lives are ready 0.8 s late, two out at once.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -42,6 +42,10 @@
     let status = said(&fleet(side, &["status"]));
     assert!(status.contains("members: 1 at least, 1 at most"), "{status}");
     assert!(status.contains("count: not asked for; instance.fronts holds"), "{status}");
+    assert!(status.contains("permits: off (out.fleet is 0)"), "{status}");
+    let out = fleet(side, &["out"]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(said(&out).contains("this front asks for no permits (out.fleet is 0)"), "{}", said(&out));
     let members = said(&fleet(side, &["members"]));
     assert_eq!(members.lines().count(), 2, "a head and itself: {members}");
     let json: serde_json::Value = serde_json::from_str(&said(&fleet(side, &["members", "--json"]))).unwrap();
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -35,10 +35,14 @@
 }
 
 fn start(name: &str, channel: SocketAddr) -> Node {
+    start_with(name, &config(channel))
+}
+
+fn start_with(name: &str, config: &str) -> Node {
     let dir = std::env::temp_dir().join(format!("cloverhollow-node-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
     let file = dir.join("config.json");
-    std::fs::write(&file, config(channel)).unwrap();
+    std::fs::write(&file, config).unwrap();
     let program = Command::new(env!("CARGO_BIN_EXE_cloverhollow"));
     let (life, ready) = ready(program, "node", &file);
     let address = ready["address"].as_str().unwrap().parse().unwrap();
@@ -185,3 +189,39 @@
     };
     assert!(ended.success());
 }
+
+/// Datagram sockets that a process holds, by the system's own lists.
+fn datagram_sockets(pid: u32) -> usize {
+    let lists =
+        ["udp", "udp6"].map(|l| std::fs::read_to_string(format!("/proc/{pid}/net/{l}")).unwrap_or_default());
+    let inodes: Vec<&str> =
+        lists.iter().flat_map(|l| l.lines().skip(1)).filter_map(|l| l.split_whitespace().nth(9)).collect();
+    let held = std::fs::read_dir(format!("/proc/{pid}/fd")).unwrap().flatten();
+    let links = held.filter_map(|fd| std::fs::read_link(fd.path()).ok());
+    let names = links.map(|l| l.to_string_lossy().into_owned());
+    names.filter(|n| inodes.iter().any(|i| *n == format!("socket:[{i}]"))).count()
+}
+
+#[test]
+fn settings_of_members_and_permits_open_no_datagram_socket_here() {
+    let (listener, at) = channel();
+    let mut text: serde_json::Value = serde_json::from_str(&config(at)).unwrap();
+    let key = std::env::temp_dir().join("no-such-key");
+    for at in ["", "settings"] {
+        let of = if at.is_empty() { &mut text } else { &mut text[at] };
+        of["members"] =
+            json!({"listen": "127.0.0.1:0", "witnesses": ["127.0.0.1:9"], "keys": [{"id": 1, "file": key}]});
+        of["out"] = json!({"fleet": 1});
+    }
+    let mut node = start_with("permits", &text.to_string());
+    asked(&listener);
+    assert!(node.tested());
+    assert_eq!(datagram_sockets(node.life.id()), 0);
+    // And it ends as ever: nobody is asked for a permit.
+    node.signal(Signal::TERM);
+    let begun = Instant::now();
+    while node.life.try_wait().unwrap().is_none() {
+        assert!(begun.elapsed() < LONG, "it ends by itself");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/crates/cli/tests/out.rs
+++ b/crates/cli/tests/out.rs
@@ -60,11 +60,15 @@
     fleet.fronts[0].again.store(false, SeqCst);
     fleet.until("the witnesses see", || (0..3).any(|n| fleet.fronts[n].out()["witness"] != "blind"));
     // One change while all three live: from then on each of them sees.
-    fleet.fronts[3].signal(Signal::TERM);
+    let asked = fleet.command(3, "out");
+    assert!(asked.contains("asked: it goes out once it holds a permit"), "{asked}");
     fleet.until("it has gone and is back", || {
         fleet.fronts[3].ends.load(SeqCst) == 1 && fleet.fronts[3].is_ready()
     });
     fleet.until("all witnesses see", || (0..3).all(|n| fleet.fronts[n].out()["witness"] == "sees"));
+    let status = fleet.command(1, "status");
+    assert!(status.contains("permits: 2 of the fleet, 2 of a hall may be out at once"), "{status}");
+    assert!(status.contains("witness of permits: sees"), "{status}");
     fleet.fronts[0].signal(Signal::KILL);
     fleet.until("it is missed", || (1..5).all(|n| fleet.counts_out(n, 0)));
     fleet.fronts[3].signal(Signal::TERM);
@@ -74,6 +78,9 @@
     fleet.fronts[1].again.store(false, SeqCst);
     fleet.fronts[1].signal(Signal::KILL);
     fleet.fronts[4].again.store(false, SeqCst);
+    fleet.command(4, "out");
+    fleet.until("asked, it stays", || fleet.fronts[4].log().contains("was asked to go out and stays"));
+    assert!(fleet.fronts[4].ends.load(SeqCst) == 0 && fleet.fronts[4].is_ready());
     [2, 3, 4].iter().for_each(|n| fleet.fronts[*n].signal(Signal::TERM));
     fleet.until("it has gone without a permit", || fleet.fronts[4].ends.load(SeqCst) == 1);
     let log = fleet.fronts[4].log();
@@ -99,8 +106,8 @@
         out["reason"] == "as many of the hall are out as may be" && fleet.fronts[waits].is_ready()
     });
     fleet.fronts[3].signal(Signal::TERM);
-    fleet.until("one of another hall goes meanwhile", || ends(3) == 1);
-    assert_eq!((ends(gone), ends(waits), fleet.most.load(SeqCst)), (1, 0, 2));
+    fleet.until("one of another hall goes meanwhile", || ends(3) == 1 && fleet.most.load(SeqCst) == 2);
+    assert_eq!((ends(gone), ends(waits)), (1, 0));
     fleet.fronts.iter().for_each(|f| f.again.store(true, SeqCst));
     fleet.until("the other of the hall has gone and is back", || {
         ends(waits) == 1 && fleet.fronts[waits].is_ready()
--- a/crates/cli/tests/supervised/mod.rs
+++ b/crates/cli/tests/supervised/mod.rs
@@ -12,7 +12,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
@@ -25,6 +25,9 @@
 /// Under it: a front that goes within has gone by a permit.
 pub const WAIT_MS: u64 = 600_000;
 
+/// So long discovery says nothing to a new life.
+const LATE: Duration = Duration::from_millis(800);
+
 #[derive(Default)]
 pub struct One {
     pub config: PathBuf,
@@ -46,6 +49,25 @@
     supervisors: Vec<std::thread::JoinHandle<()>>,
 }
 
+/// Tells its list late: a life that kept none is not ready for as long.
+fn slow_discovery(server: SocketAddr) -> SocketAddr {
+    let (listener, told) = (TcpListener::bind("127.0.0.1:0").unwrap(), discovery(server));
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                std::thread::sleep(LATE);
+                let Ok(to) = TcpStream::connect(told) else { return };
+                let (mut from, mut back) = (stream.try_clone().unwrap(), to.try_clone().unwrap());
+                std::thread::spawn(move || std::io::copy(&mut from, &mut back));
+                let (mut to, mut stream) = (to, stream);
+                let _ = std::io::copy(&mut to, &mut stream);
+            });
+        }
+    });
+    address
+}
+
 /// One answer of a side address; nothing where there is none.
 pub fn get(side: SocketAddr, path: &str) -> Option<(bool, String)> {
     let mut stream = TcpStream::connect(side).ok()?;
@@ -118,6 +140,8 @@
         let others = all.iter().enumerate().filter(|(m, _)| *m != n);
         let out = others.filter(|(_, o)| !o.is_ready()).count();
         most.fetch_max(1 + out, SeqCst);
+        // Without its last list, so that it is not ready at once.
+        let _ = std::fs::remove_file(own.config.with_extension("keep"));
         while !own.again.load(SeqCst) && !own.over.load(SeqCst) {
             std::thread::sleep(Duration::from_millis(5));
         }
@@ -133,7 +157,7 @@
         std::fs::write(&key, "0123456789abcdef0123456789abcdef\n").unwrap();
         std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).unwrap();
         let (tx, _) = std::sync::mpsc::channel();
-        let discovery = discovery(server(tx));
+        let discovery = slow_discovery(server(tx));
         let sockets: Vec<_> = halls.iter().map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
         let at: Vec<String> = sockets.iter().map(|s| s.local_addr().unwrap().to_string()).collect();
         drop(sockets);
@@ -186,6 +210,14 @@
         }
     }
 
+    /// What `cloverhollow fleet` says, asked of that front.
+    pub fn command(&self, n: usize, word: &str) -> String {
+        let side = self.fronts[n].side().unwrap().to_string();
+        let exe = env!("CARGO_BIN_EXE_cloverhollow");
+        let said = Command::new(exe).args(["fleet", word, "--side", &side]).output().unwrap();
+        String::from_utf8_lossy(&said.stdout).into_owned() + &String::from_utf8_lossy(&said.stderr)
+    }
+
     /// Whether that front counts the other as out.
     pub fn counts_out(&self, n: usize, other: usize) -> bool {
         let name = format!("front-{other}");
--- a/crates/front/src/members/permits.rs
+++ b/crates/front/src/members/permits.rs
@@ -31,6 +31,7 @@
                 tracing::error!(%to, "a word on permits does not fit into a datagram");
             }
         }
+        debug_assert_eq!(out.check(), Ok(()));
         if out.has_to_keep() {
             self.gate.write.notify_one();
         }
--- a/crates/front/src/out/kept.rs
+++ b/crates/front/src/out/kept.rs
@@ -4,8 +4,10 @@
 //! A witness's answer goes out once what it rests on is written, or not at all: the disk is waited for by a task of
 //! its own. Without a file nothing is kept: permits lapse by their lease, and a witness says that it forgot.
 
+use super::said::Said;
+use super::Out;
 use crate::clock::boot;
-use cloverhollow_out::Kept;
+use cloverhollow_out::{Clerk, Kept};
 use cloverhollow_settings::{FrontSettings, Outlives};
 use cloverhollow_store::beside;
 use serde::{Deserialize, Serialize};
@@ -86,3 +88,38 @@
 fn here() -> String {
     format!("{:032x}", boot().0)
 }
+
+impl Out {
+    /// A life may hold a permit that is to be given back.
+    pub(super) fn owe(&mut self, life: u64) {
+        if !self.owed.contains(&life) {
+            self.owed.push(life);
+            self.owed.truncate(MOST_OWED);
+            self.version += 1;
+        }
+    }
+
+    /// Whether something has changed since the last try to write.
+    pub(crate) fn has_to_keep(&self) -> bool {
+        self.version > self.tried || !self.answers.is_empty()
+    }
+
+    /// What is to be written.
+    pub(crate) fn to_keep(&self) -> (u64, Option<(LeafFile, Leaf)>) {
+        let leaf = || Leaf::new(self.owed.clone(), self.clerk.as_ref().map(Clerk::kept));
+        (self.version, self.file.clone().map(|file| (file, leaf())))
+    }
+
+    /// That was written, or could not be: then the answers that rest on it are not given.
+    pub(crate) fn set_kept(&mut self, version: u64, good: bool) {
+        self.tried = self.tried.max(version);
+        if good {
+            self.good = self.good.max(version);
+        }
+        while let Some((_, to, word)) = self.answers.pop_front_if(|a| a.0 <= version) {
+            if good {
+                self.words.push((to, Said::Out(word)));
+            }
+        }
+    }
+}
--- a/crates/front/src/out/mod.rs
+++ b/crates/front/src/out/mod.rs
@@ -6,6 +6,7 @@
 mod kept;
 mod leave;
 mod page;
+mod said;
 mod turn;
 mod world;
 
@@ -14,11 +15,13 @@
 
 use cloverhollow_members::View;
 use cloverhollow_out::{
-    Asker, AskerSettings, Clerk, Granted, Limits, Most, Place, Register, Seen, Subject, Term, Word, World,
+    Asker, AskerSettings, Broken, Clerk, Granted, Limits, Most, Place, Register, Seen, Subject, Term, Word,
+    World,
 };
 use cloverhollow_settings::FrontSettings;
-use kept::{Leaf, LeafFile};
-use std::collections::VecDeque;
+use kept::LeafFile;
+use said::Said;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,6 +31,10 @@
 const AGAIN: Duration = Duration::from_millis(250);
 /// The fleet is looked at when its view changes, and so often.
 const LOOK: Duration = Duration::from_millis(100);
+/// Whoever did not say yet that it takes viewers is asked so often, where this front wants to go...
+const QUESTION: Duration = Duration::from_millis(300);
+/// ...so many of them at a time.
+const MOST_ASKED: usize = 64;
 /// Most answers of the witness that wait for the disk; a further one is lost, as any may be.
 const MOST_HELD: usize = 256;
 
@@ -85,7 +92,12 @@
     tried: u64,
     good: u64,
     answers: VecDeque<(u64, SocketAddr, Word)>,
-    words: Vec<(SocketAddr, Word)>,
+    words: Vec<(SocketAddr, Said)>,
+    /// Lives that said that they take viewers, by address; members of the view alone.
+    ready: BTreeMap<SocketAddr, u64>,
+    /// Lives that are there and did not.
+    strangers: Vec<(SocketAddr, u64)>,
+    next_question: Duration,
 }
 
 impl Out {
@@ -134,6 +146,9 @@
             looked: None,
             answers: VecDeque::new(),
             words: Vec::new(),
+            ready: BTreeMap::new(),
+            strangers: Vec::new(),
+            next_question: now,
         })
     }
 
@@ -147,7 +162,8 @@
             self.sure_at = Some(now);
         }
         let unsure_for = self.sure_at.map_or(Duration::MAX, |at| now.saturating_sub(at));
-        self.world = world::world(now, view, self.forget, unsure_for);
+        self.meet(view);
+        self.world = world::world(now, view, &self.ready, self.forget, unsure_for);
     }
 
     /// A member's whole list came: who died before this front started is known.
@@ -178,43 +194,25 @@
         self.held.filter(|h| h.granted.at(now) && h.version <= self.tried).map(|h| h.term)
     }
 
+    /// # Errors
+    /// An invariant that does not hold.
+    pub(crate) fn check(&self) -> Result<(), Broken> {
+        let is = |good, what| match good {
+            true => Ok(()),
+            false => Err(Broken { machine: "front's permits", who: self.life, what }),
+        };
+        is(self.good <= self.tried && self.tried <= self.version, "nothing kept that is not there yet")?;
+        is(self.held.is_none() || (self.wanted && self.owed.contains(&self.life)), "what it holds it owes")?;
+        is(self.owed.len() <= kept::MOST_OWED && self.answers.len() <= MOST_HELD, "bounds")?;
+        self.clerk.as_ref().map_or(Ok(()), Clerk::check)?;
+        self.asker.check()
+    }
+
     /// Why the last ask came to nothing, in words.
     pub(crate) fn why_not(&self) -> String {
         self.reason.clone()
     }
 
-    fn owe(&mut self, life: u64) {
-        if !self.owed.contains(&life) {
-            self.owed.push(life);
-            self.owed.truncate(kept::MOST_OWED);
-            self.version += 1;
-        }
-    }
-
-    /// Whether something has changed since the last try to write.
-    pub(crate) fn has_to_keep(&self) -> bool {
-        self.version > self.tried || !self.answers.is_empty()
-    }
-
-    /// What is to be written.
-    pub(crate) fn to_keep(&self) -> (u64, Option<(LeafFile, Leaf)>) {
-        let leaf = || Leaf::new(self.owed.clone(), self.clerk.as_ref().map(Clerk::kept));
-        (self.version, self.file.clone().map(|file| (file, leaf())))
-    }
-
-    /// That was written, or could not be: then the answers that rest on it are not given.
-    pub(crate) fn set_kept(&mut self, version: u64, good: bool) {
-        self.tried = self.tried.max(version);
-        if good {
-            self.good = self.good.max(version);
-        }
-        while let Some((_, to, word)) = self.answers.pop_front_if(|a| a.0 <= version) {
-            if good {
-                self.words.push((to, word));
-            }
-        }
-    }
-
     fn seen<'a>(world: &'a World, limits: &'a Limits) -> Seen<'a> {
         Seen { world, limits }
     }
--- a/crates/front/src/out/page.rs
+++ b/crates/front/src/out/page.rs
@@ -18,7 +18,9 @@
             json!({"name": name(p.subject), "subject": world::digits(p.subject), "term": p.term.0,
                 "lease_ms": p.lease_ms, "holder": format!("{:016x}", p.holder)})
         });
-        let away = self.world.known.iter().filter(|(_, k)| k.standing != Standing::Serves);
+        // Who is ready is asked only where this front wants to go.
+        let counts = |s| s != Standing::Serves && (s != Standing::Out || self.wanted);
+        let away = self.world.known.iter().filter(|(s, k)| **s != self.subject && counts(k.standing));
         let sight = self.clerk.as_ref().map(|c| match c.sight(now) {
             Sight::Sees => "sees",
             Sight::Waited => "waited",
@@ -34,7 +36,11 @@
             })),
             "counted_out": away.map(|(s, k)| json!({
                 "name": name(*s), "subject": world::digits(*s),
-                "why": if k.standing == Standing::Gone { "gone" } else { "doubted" },
+                "why": match k.standing {
+                    Standing::Gone => "gone",
+                    Standing::Doubted => "doubted",
+                    _ => "did not say that it takes viewers",
+                },
             })).collect::<Vec<_>>(),
         })
     }
--- a/crates/front/src/out/turn.rs
+++ b/crates/front/src/out/turn.rs
@@ -1,19 +1,13 @@
 //! What comes in and what is due: words in, words out.
 
+use super::said::Said;
 use super::{world, Asks, Held, Out, AGAIN, MOST_HELD};
 use cloverhollow_out::{Change, Outcome, Register, Word};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 impl Out {
-    /// A word came in a datagram; what cannot be read is nothing.
-    pub(crate) fn datagram(&mut self, now: Duration, bytes: &[u8]) {
-        if let Ok(word) = postcard::from_bytes::<Word>(bytes) {
-            self.word(now, word);
-        }
-    }
-
-    fn word(&mut self, now: Duration, word: Word) {
+    pub(super) fn word(&mut self, now: Duration, word: Word) {
         match word {
             Word::Prepare { .. } | Word::Accept { .. } => {
                 let Some(clerk) = &mut self.clerk else { return };
@@ -25,7 +19,7 @@
                 }
                 // Guards against an answer that a witness forgets: it waits until what it rests on is written.
                 match answer {
-                    Some(answer) if self.version <= self.good => self.words.push(answer),
+                    Some((to, word)) if self.version <= self.good => self.words.push((to, Said::Out(word))),
                     Some((to, word)) if self.answers.len() < MOST_HELD => {
                         self.answers.push_back((self.version, to, word));
                     }
@@ -38,7 +32,7 @@
                 }
                 let seen = Out::seen(&self.world, &self.limits);
                 let words = self.asker.word(now, word, seen);
-                self.words.extend(words);
+                self.say(words);
             }
         }
     }
@@ -58,17 +52,23 @@
             self.ask(now);
         }
         let words = self.asker.due(now);
-        self.words.extend(words);
+        self.say(words);
+        self.question(now);
+    }
+
+    fn say(&mut self, words: Vec<(SocketAddr, Word)>) {
+        self.words.extend(words.into_iter().map(|(to, word)| (to, Said::Out(word))));
     }
 
     /// When [`Out::tick`] is next due; none: when something comes.
     pub(crate) fn next_due(&self, now: Duration) -> Option<Duration> {
         let asks = self.next(now).map(|_| self.next_ask);
-        self.asker.next_due().or(asks)
+        let question = (self.wanted && !self.strangers.is_empty()).then_some(self.next_question);
+        self.asker.next_due().or(asks).into_iter().chain(question).min()
     }
 
     /// Words to be sent, since the last call; those to this front itself are heard at once.
-    pub(crate) fn take_words(&mut self, now: Duration) -> Vec<(SocketAddr, Word)> {
+    pub(crate) fn take_words(&mut self, now: Duration) -> Vec<(SocketAddr, Said)> {
         let mut out = Vec::new();
         // Each round of words to itself is answered by shorter ones; a bound all the same.
         for _ in 0..16 {
@@ -78,11 +78,10 @@
             if self.file.is_none() {
                 self.set_kept(self.version, true);
             }
-            for (to, word) in std::mem::take(&mut self.words) {
-                if to == self.me {
-                    self.word(now, word);
-                } else {
-                    out.push((to, word));
+            for (to, said) in std::mem::take(&mut self.words) {
+                match said {
+                    Said::Out(word) if to == self.me => self.word(now, word),
+                    said => out.push((to, said)),
                 }
             }
         }
--- a/crates/front/src/out/world.rs
+++ b/crates/front/src/out/world.rs
@@ -4,6 +4,8 @@
 //!
 //! - A front that died counts as there until the suspicion is over: some seconds. Nobody goes beyond the limits of the
 //!   permits meanwhile.
+//! - A front that starts after a death is there before it is ready: it counts as out until that life said that it takes
+//!   viewers. One that was ready and takes none any more (no server) does not count: it is not out, but in need.
 //! - A front that left counts as out, by its permit or by the view, until it is back. Whether one that is gone
 //!   left for good or died, the view does not tell: it counts as out for `out.forget_ms` and then not at all. A
 //!   front that is cut off for longer is thus forgotten, and one more may go than the limit says.
@@ -43,8 +45,19 @@
     witnesses.iter().filter(there).count() > witnesses.len() / 2
 }
 
+/// Whether that very life said that it takes viewers.
+pub(super) fn is_ready(ready: &BTreeMap<SocketAddr, u64>, seen: &cloverhollow_members::Seen) -> bool {
+    ready.get(&seen.who.address) == Some(&seen.who.life.token)
+}
+
 /// The fleet, each front by its youngest life.
-pub(super) fn world(now: Duration, view: &View, forget: Duration, unsure_for: Duration) -> World {
+pub(super) fn world(
+    now: Duration,
+    view: &View,
+    ready: &BTreeMap<SocketAddr, u64>,
+    forget: Duration,
+    unsure_for: Duration,
+) -> World {
     let mut youngest = BTreeMap::new();
     for seen in view.members.values() {
         let of = youngest.entry(subject(&seen.who.name)).or_insert(seen);
@@ -56,7 +69,10 @@
     let all = youngest.into_iter().filter(|(_, s)| counts(s));
     let known = |s: &cloverhollow_members::Seen| Known {
         place: place(&s.who.hall),
-        standing: Standing::from(s.sure),
+        standing: match s.sure {
+            Sure::There if !is_ready(ready, s) => Standing::Out,
+            sure => Standing::from(sure),
+        },
         link: 0,
     };
     World { known: all.map(|(subject, s)| (subject, known(s))).collect(), unsure_for }
--- a/crates/out/tests/words.rs
+++ b/crates/out/tests/words.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// What a seal adds (format, key, sender, number, MAC), and the tag of an envelope round the word.
-const AROUND: usize = 1 + 4 + 8 + 8 + 16 + 2;
+const AROUND: usize = 1 + 4 + 8 + 8 + 16 + 2 + 2;
 
 fn largest() -> Register {
     let term = Term(u64::MAX);
