Settings: a fault of out.fleet names the field as it is written

Cause: the range's fault named out.fleet.value. The range is looked at with the section's other checks now, by line.

--- a/crates/front/src/out/mod.rs
+++ b/crates/front/src/out/mod.rs
@@ -111,7 +111,7 @@
         let leaf = file.as_ref().map(LeafFile::read).unwrap_or_default();
         let (lease, witnesses) = (set.lease_ms.get(), m.witnesses.clone());
         let is_witness = witnesses.contains(&me);
-        let most = Most { fleet: set.fleet.value.get() as u16, hall: set.hall.get() as u16, rack: u16::MAX };
+        let most = Most { fleet: set.fleet.value as u16, hall: set.hall.get() as u16, rack: u16::MAX };
         let none = Most { fleet: 0, hall: 0, rack: 0 };
         let unsure_ms = m.suspicion_ms.get().as_millis() as u32;
         let asker =
--- a/crates/settings/src/fields/out.rs
+++ b/crates/settings/src/fields/out.rs
@@ -11,7 +11,7 @@
 pub struct Out {
     /// Most fronts of the fleet that are out at once; 0 to 20. 0: off, a front that is told to stop stops at once.
     /// Default 0.
-    pub fleet: Spanned<Num<0, 20>>,
+    pub fleet: Spanned<u64>,
     /// Most of one hall; 1 to 20. Default 1.
     pub hall: Num<1, 20>,
     /// How long a permit lasts that its front does not give back; 1 s to an hour. Default 60 s.
@@ -27,7 +27,7 @@
 impl Out {
     /// Whether permits are asked for.
     pub fn is_on(&self) -> bool {
-        self.fleet.value.get() > 0
+        self.fleet.value > 0
     }
 }
 
@@ -35,7 +35,7 @@
     fn default() -> Self {
         let nowhere = serde_saphyr::Location::UNKNOWN;
         Out {
-            fleet: Spanned::new(Num::of(0), nowhere, nowhere),
+            fleet: Spanned::new(0, nowhere, nowhere),
             hall: Num::of(1),
             lease_ms: Ms::of(60_000),
             wait_ms: Ms::of(30_000),
