--- a/crates/decisions/src/brain/mod.rs
+++ b/crates/decisions/src/brain/mod.rs
@@ -1,4 +1,4 @@
-//! The decisions of one front. The vocabulary (settings, events, actions) is in `interface.rs`.
+//! The decisions of one front. The vocabulary (settings, events, actions) is in `interface`.
 //!
 //! Reading order: constants and state here, `meter`, `ledger`, `news` (list, cold servers, health), `pick`
 //! (admission), `attempts`, `notes`. In `attempts`, `send` alone sends, `set_rung` alone sets rungs, `answer`
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -214,7 +214,6 @@
         }
         Ok(Bench { child, front, servers: all, _discovery: discovery })
     }
-
     /// CPU that the front has used, seconds.
     fn cpu(&self) -> f64 {
         self.child.id().map_or(0.0, cpu_of)
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -55,7 +55,6 @@
     async fn until(&self, at: Duration) {
         sleep(at.saturating_sub(self.log.now())).await;
     }
-
     /// Runs all troubles to their ends.
     pub async fn play(self: Arc<Self>) {
         let mut tasks = JoinSet::new();
--- a/crates/members/src/member/mod.rs
+++ b/crates/members/src/member/mod.rs
@@ -1,8 +1,10 @@
 //! A member behind one door: datagrams in, datagrams out, a clock from outside.
 
 mod check;
+mod other;
 mod told;
 
+pub use other::MOST_OTHER;
 pub use told::{MemberSettings, Notice, Outgoing, Status};
 
 use crate::heads::{Heads, Part};
@@ -28,6 +30,7 @@
     notices: Vec<Notice>,
     status: Status,
     marks: Marks,
+    other: Vec<Vec<u8>>,
 }
 
 impl Member {
@@ -45,6 +48,7 @@
             notices: Vec::new(),
             status: Status::default(),
             marks: Marks::default(),
+            other: Vec::new(),
         }
     }
 
@@ -79,6 +83,7 @@
                 self.heads.counted(now, counted);
                 Ok(())
             }
+            Word::Other(bytes) => self.hear_other(bytes),
         }
     }
 
--- a/crates/platform/tests/whisper.rs
+++ b/crates/platform/tests/whisper.rs
@@ -133,7 +133,7 @@
         let now = START + ms(50 * step);
         for i in 0..n {
             // Each has sessions at three servers, of which one tells its load each 2.5 s.
-            if (step + i as u64) % 50 == 0 {
+            if (step + i as u64).is_multiple_of(50) {
                 let s = (i as u64 * 7 + step / 50) % servers;
                 all[i].read(now, s, Some(0.5), Some(0.5));
                 known[i].insert(s);
