--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -8,9 +8,9 @@
 mod viewers;
 
 use crate::channel::From;
+use crate::gossip::GossipSocket;
 use crate::links::{Ended, Heard, Links, Outgoing};
 use crate::mail::{Hold, Mail};
-use crate::whispers::Whispers;
 use bytes::Bytes;
 use cloverhollow::{Brain, ServerId};
 use cloverhollow_net::{unix_ms, Clock};
@@ -70,7 +70,7 @@
     handed_over: Duration,
     looked: Duration,
     /// Loads told between session managers, where the platform lets them.
-    pub(crate) whispers: Option<Whispers>,
+    pub(crate) gossip: Option<GossipSocket>,
 }
 
 impl Desk {
@@ -99,7 +99,7 @@
             terminating: None,
             handed_over: Duration::MAX,
             looked: Duration::ZERO,
-            whispers: None,
+            gossip: None,
         }
     }
 
@@ -160,7 +160,7 @@
             Mail::Line(link, line) => self.line(link, line),
             Mail::Down(link, down) => self.down(link, down),
             Mail::Told(told) => self.told(told),
-            Mail::Whisper(bytes) => self.whisper(&bytes),
+            Mail::Gossip(bytes) => self.gossiped(&bytes),
             Mail::Config(config) => self.configured(&config),
             Mail::Terminate => self.terminating = self.terminating.or(Some(self.clock.now())),
         }
--- a/crates/node/src/desk/news.rs
+++ b/crates/node/src/desk/news.rs
@@ -28,8 +28,8 @@
                 before.into_iter().for_each(|server| self.cut(server, Duration::MAX));
             }
         }
-        if let Some(whispers) = &mut self.whispers {
-            whispers.whisper.listed(self.directory.keys());
+        if let Some(gossip) = &mut self.gossip {
+            gossip.gossip.listed(self.directory.keys());
         }
         self.inputs.push(Input::List(news));
     }
@@ -40,9 +40,9 @@
     }
 
     /// A datagram of another session manager.
-    pub(super) fn whisper(&mut self, bytes: &[u8]) {
+    pub(super) fn gossiped(&mut self, bytes: &[u8]) {
         let now = self.clock.now();
-        let heard = self.whispers.as_mut().map(|w| w.whisper.heard(now, bytes)).unwrap_or_default();
+        let heard = self.gossip.as_mut().map(|w| w.gossip.heard(now, bytes)).unwrap_or_default();
         self.inputs.extend(heard.into_iter().map(Input::Heard));
     }
 
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -60,8 +60,8 @@
                 if let Some(note) = told::note(&line) {
                     // It speaks of as long ago as notes are late.
                     let at = self.clock.now().saturating_sub(self.site.settings.told_late);
-                    if let Some(whispers) = &mut self.whispers {
-                        whispers.read(at, server, note);
+                    if let Some(gossip) = &mut self.gossip {
+                        gossip.read(at, server, note);
                     }
                     self.inputs.push(Input::Note { sid: line.tag.into(), note });
                 }
@@ -91,8 +91,8 @@
 
     pub(super) fn look(&mut self) {
         let now = self.clock.now();
-        if let Some(whispers) = &mut self.whispers {
-            whispers.tell(now);
+        if let Some(gossip) = &mut self.gossip {
+            gossip.tell(now);
         }
         let (standing, core) = (&self.standing, &self.core);
         let cut = self.links.look(|server| standing.any_at(server), |server| core.list().address(server));
--- a/crates/node/src/whispers.rs
+++ b/crates/node/src/gossip.rs
@@ -6,7 +6,7 @@
 use crate::mail::Mail;
 use bytes::Bytes;
 use cloverhollow::{Note, ServerId};
-use cloverhollow_platform::whisper::{Cadence, Whisper, MOST_DATAGRAM};
+use cloverhollow_platform::gossip::{Cadence, Gossip, MOST_DATAGRAM};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,20 +20,20 @@
 
 /// What one session manager tells the others, and how.
 #[derive(Debug)]
-pub(crate) struct Whispers {
-    pub(crate) whisper: Whisper,
+pub(crate) struct GossipSocket {
+    pub(crate) gossip: Gossip,
     socket: Arc<UdpSocket>,
     others: Vec<SocketAddr>,
 }
 
-impl Whispers {
+impl GossipSocket {
     /// Opens the socket; without it the session manager goes on alone. `peers`: all, the own address among them.
     pub(crate) async fn open(
         listen: SocketAddr,
         peers: &[SocketAddr],
         seed: u64,
         mail: mpsc::Sender<Mail>,
-    ) -> Option<Whispers> {
+    ) -> Option<GossipSocket> {
         let socket = match UdpSocket::bind(listen).await {
             Ok(socket) => Arc::new(socket),
             Err(error) => {
@@ -43,22 +43,22 @@
         };
         let others: Vec<_> = peers.iter().copied().filter(|p| *p != listen).collect();
         tokio::spawn(read(socket.clone(), mail));
-        let whisper = Whisper::new(Cadence::default(), others.len(), seed ^ ROW);
-        Some(Whispers { whisper, socket, others })
+        let gossip = Gossip::new(Cadence::default(), others.len(), seed ^ ROW);
+        Some(GossipSocket { gossip, socket, others })
     }
 
     /// A video server told its load, as it was `at` that time.
     pub(crate) fn read(&mut self, at: Duration, server: ServerId, note: Note) {
         match note {
-            Note::Link(link) => self.whisper.read(at, server, Some(link), None),
-            Note::Rack(rack) => self.whisper.read(at, server, None, Some(rack)),
+            Note::Link(link) => self.gossip.read(at, server, Some(link), None),
+            Note::Rack(rack) => self.gossip.read(at, server, None, Some(rack)),
             Note::Share(_) | Note::Rung(_) => {}
         }
     }
 
     /// Tells another what is due.
     pub(crate) fn tell(&mut self, now: Duration) {
-        let Some((to, bytes)) = self.whisper.due(now) else { return };
+        let Some((to, bytes)) = self.gossip.due(now) else { return };
         if let Some(to) = self.others.get(to) {
             let _ = self.socket.try_send_to(&bytes, *to);
         }
@@ -72,7 +72,7 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((n, _)) => {
-                if mail.send(Mail::Whisper(Bytes::copy_from_slice(&buf[..n]))).await.is_err() {
+                if mail.send(Mail::Gossip(Bytes::copy_from_slice(&buf[..n]))).await.is_err() {
                     return;
                 }
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,11 +6,11 @@
 
 mod channel;
 mod desk;
+mod gossip;
 mod link;
 mod links;
 mod listen;
 mod mail;
 mod process;
-mod whispers;
 
 pub use process::{run, NodeError};
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -154,7 +154,7 @@
     /// An event of the command channel.
     Told(Told),
     /// A datagram of another session manager.
-    Whisper(Bytes),
+    Gossip(Bytes),
     /// The configuration was read again.
     Config(Box<Config>),
     /// The process is to end.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,9 +2,9 @@
 
 use crate::channel::{self, From};
 use crate::desk::{Bounds, Desk};
+use crate::gossip::GossipSocket;
 use crate::listen;
 use crate::mail::{Mail, MOST_MAILS};
-use crate::whispers::Whispers;
 use cloverhollow::Brain;
 use cloverhollow_net::{unix_ms, Clock};
 use cloverhollow_platform::config::{self, Config, ConfigError};
@@ -85,7 +85,7 @@
     let bounds = Bounds { conns: room.sockets / 2, open: room.sockets / 4, open_on_one: room.sockets / 8 };
     let mut desk = Desk::new(core, clock, Arc::new(site), watch, bounds, from, mail.clone());
     if let Some(listen) = peer_listen {
-        desk.whispers = Whispers::open(listen, &peers, seed, mail.clone()).await;
+        desk.gossip = GossipSocket::open(listen, &peers, seed, mail.clone()).await;
     }
     desk.first(Input::Clock(ahead));
     for told in known {
--- a/crates/platform/src/whisper.rs
+++ b/crates/platform/src/gossip.rs
@@ -55,7 +55,7 @@
 
 /// What one session manager knows and has told.
 #[derive(Debug)]
-pub struct Whisper {
+pub struct Gossip {
     cadence: Cadence,
     peers: usize,
     /// When the next datagram is due; `None`: the first time is not drawn yet.
@@ -76,12 +76,12 @@
     (octet != UNREAD).then(|| f64::from(octet) / 100.0)
 }
 
-impl Whisper {
+impl Gossip {
     /// `peers`: how many others there are to be told.
-    pub fn new(cadence: Cadence, peers: usize, seed: u64) -> Whisper {
+    pub fn new(cadence: Cadence, peers: usize, seed: u64) -> Gossip {
         let rng = fastrand::Rng::with_seed(seed);
         let (known, named, digests) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Whisper { cadence, peers, next: None, rng, known, named, digests }
+        Gossip { cadence, peers, next: None, rng, known, named, digests }
     }
 
     /// The list has changed: the servers that may be spoken of, with what all session managers call them alike.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod channel;
 pub mod config;
+pub mod gossip;
 pub mod lines;
 pub mod rtsp;
 pub mod settings;
@@ -13,4 +14,3 @@
 pub mod told;
 pub mod viewer;
 pub mod watch;
-pub mod whisper;
--- a/crates/platform/tests/whisper.rs
+++ b/crates/platform/tests/gossip.rs
@@ -1,6 +1,6 @@
 //! Loads told between session managers: what arrives is what was read, once, with its age; what can't be trusted changes nothing.
 
-use cloverhollow_platform::whisper::{Cadence, Whisper, MOST_DATAGRAM};
+use cloverhollow_platform::gossip::{Cadence, Gossip, MOST_DATAGRAM};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -10,14 +10,14 @@
 const START: Duration = Duration::from_secs(100);
 
 /// One that knows `servers` servers, whose numbers begin at `first`: each session manager has its own.
-fn whisper(servers: u64, first: u64, seed: u64) -> Whisper {
-    let mut w = Whisper::new(Cadence::default(), 9, seed);
+fn gossip(servers: u64, first: u64, seed: u64) -> Gossip {
+    let mut w = Gossip::new(Cadence::default(), 9, seed);
     w.listed((0..servers).map(|i| (first + i, 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(i + 1))));
     w
 }
 
 /// The next datagram within a second from `now`, and when it went.
-fn told(w: &mut Whisper, now: Duration) -> Option<(Duration, Vec<u8>)> {
+fn told(w: &mut Gossip, now: Duration) -> Option<(Duration, Vec<u8>)> {
     (0..20).find_map(|i| {
         let now = now + ms(50 * i);
         w.due(now).map(|(to, bytes)| {
@@ -29,7 +29,7 @@
 
 #[test]
 fn a_reading_arrives_with_its_age_under_the_hearers_own_number() {
-    let (mut a, mut b) = (whisper(40, 0, 1), whisper(40, 1000, 2));
+    let (mut a, mut b) = (gossip(40, 0, 1), gossip(40, 1000, 2));
     a.read(START, 7, Some(0.42), None);
     a.read(START + ms(5), 7, None, Some(1.3));
     let (at, bytes) = told(&mut a, START + ms(200)).unwrap();
@@ -44,13 +44,13 @@
 
 #[test]
 fn what_was_heard_is_passed_on_and_a_younger_reading_stays() {
-    let (mut a, mut b, mut c) = (whisper(40, 0, 1), whisper(40, 0, 2), whisper(40, 0, 3));
+    let (mut a, mut b, mut c) = (gossip(40, 0, 1), gossip(40, 0, 2), gossip(40, 0, 3));
     a.read(START, 7, Some(0.5), None);
     let (at, bytes) = told(&mut a, START).unwrap();
     assert_eq!(b.heard(at, &bytes).len(), 1);
     let (at, passed) = told(&mut b, at).unwrap();
     assert_eq!(c.heard(at, &passed)[0].report.link, Some(0.5));
-    let mut d = whisper(40, 0, 4);
+    let mut d = gossip(40, 0, 4);
     d.read(at, 7, Some(0.9), None);
     assert!(d.heard(at + ms(10), &passed).is_empty(), "its own is younger");
 }
@@ -58,7 +58,7 @@
 #[test]
 fn each_reading_is_told_so_often_and_no_more_when_it_is_old() {
     let set = Cadence::default();
-    let mut a = whisper(40, 0, 1);
+    let mut a = gossip(40, 0, 1);
     a.read(START, 7, Some(0.5), None);
     let n = (0..200).filter(|i| a.due(START + ms(50 * i)).is_some()).count();
     assert_eq!(n, usize::from(set.times));
@@ -68,11 +68,11 @@
 
 #[test]
 fn a_datagram_is_no_longer_than_the_platform_allows_and_the_youngest_go_first() {
-    let mut a = whisper(300, 0, 1);
+    let mut a = gossip(300, 0, 1);
     (0..300).for_each(|i| a.read(START + ms(200 * (i / 100)), i, Some(0.5), Some(0.5)));
     let (at, bytes) = told(&mut a, START + ms(600)).unwrap();
     assert!(bytes.len() <= MOST_DATAGRAM, "{}", bytes.len());
-    let mut b = whisper(300, 0, 2);
+    let mut b = gossip(300, 0, 2);
     let heard = b.heard(at, &bytes);
     assert!(heard.len() >= 40, "{}", heard.len());
     assert!(heard.iter().all(|h| h.server >= 200), "the youngest");
@@ -80,10 +80,10 @@
 
 #[test]
 fn garbled_cut_and_foreign_ones_change_nothing() {
-    let mut a = whisper(40, 0, 1);
+    let mut a = gossip(40, 0, 1);
     (0..9).for_each(|i| a.read(START, i, Some(0.5), None));
     let (at, bytes) = told(&mut a, START).unwrap();
-    let mut b = whisper(40, 0, 2);
+    let mut b = gossip(40, 0, 2);
     for i in 0..bytes.len() {
         for bit in 0..8 {
             let mut bad = bytes.clone();
@@ -99,7 +99,7 @@
 
 #[test]
 fn another_process_of_a_name_is_not_taken_for_the_one_before() {
-    let (mut a, mut b) = (whisper(40, 0, 1), whisper(40, 0, 2));
+    let (mut a, mut b) = (gossip(40, 0, 1), gossip(40, 0, 2));
     a.read(START, 7, Some(0.1), None);
     b.listed((0..40).map(|i| (i, 0x51ed_270b_0a1b_39e1u64.wrapping_mul(i + 77))));
     let (at, bytes) = told(&mut a, START).unwrap();
@@ -112,7 +112,7 @@
 #[test]
 fn servers_that_can_not_be_told_apart_are_not_spoken_of() {
     let keys = [(1, 5), (2, 5), (3, 6)];
-    let (mut a, mut b) = (Whisper::new(Cadence::default(), 9, 1), Whisper::new(Cadence::default(), 9, 2));
+    let (mut a, mut b) = (Gossip::new(Cadence::default(), 9, 1), Gossip::new(Cadence::default(), 9, 2));
     a.listed(keys.into_iter());
     b.listed(keys.into_iter());
     (1..4).for_each(|i| a.read(START, i, Some(0.5), None));
@@ -124,7 +124,7 @@
 #[test]
 fn what_few_read_most_know_after_some_seconds() {
     let (n, servers) = (300, 100);
-    let mut all: Vec<_> = (0..n).map(|i| Whisper::new(Cadence::default(), n - 1, i as u64)).collect();
+    let mut all: Vec<_> = (0..n).map(|i| Gossip::new(Cadence::default(), n - 1, i as u64)).collect();
     let keys = |i: u64| 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(i + 1);
     all.iter_mut().for_each(|w| w.listed((0..servers).map(|i| (i, keys(i)))));
     let mut known = vec![std::collections::BTreeSet::new(); n];
