A server's answer goes to its viewer before the module decides on anything else

Ruled out: the time-out at 11.697 s that stood beside it in the log (another session); a connection that closed or was evicted (it carried further answers); a second answer; an answer late at the desk (longest wait 1.72 s of 1.738).

Lines: session/core/mod.rs, step: the answer was handed out only after the module had stepped over everything that came in the same instant. A step has two halves now, and the desk lets the connections write between them. What is left of the race is the way to the viewer, which no manager shortens.

--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -122,7 +122,12 @@
                 self.looked = now;
                 self.look();
             }
-            self.step();
+            let wrote = self.take_in();
+            if wrote {
+                // The tasks of the connections write the answers now: none waits for what is decided next.
+                tokio::task::yield_now().await;
+            }
+            self.decide();
             if self.terminating.is_some_and(|t| now >= t + grace) && self.standing.open() == 0 {
                 return;
             }
@@ -131,18 +136,33 @@
 
     /// Steps until what is answered at once (recalls) is used up.
     fn step(&mut self) {
+        self.take_in();
+        self.decide();
+    }
+
+    /// The first half of a step; whether answers of servers were queued for viewers.
+    fn take_in(&mut self) -> bool {
+        let inputs = std::mem::take(&mut self.inputs);
+        let commands = self.core.take_in(self.clock.now(), inputs);
+        let stream =
+            |c: &Command<Ask, String>| matches!(c, Command::Answer { answer: Answer::Stream { .. }, .. });
+        let wrote = commands.iter().any(stream);
+        commands.into_iter().for_each(|command| self.carry_out(command));
+        wrote
+    }
+
+    /// The second half, and whole steps while there is something to take in.
+    fn decide(&mut self) {
         loop {
-            let inputs = std::mem::take(&mut self.inputs);
-            let commands = self.core.step(self.clock.now(), inputs);
+            let commands = self.core.decide();
             if !enforce("session core", || self.core.check()) {
                 std::process::exit(BROKEN_EXIT);
             }
-            for command in commands {
-                self.carry_out(command);
-            }
+            commands.into_iter().for_each(|command| self.carry_out(command));
             if self.inputs.is_empty() {
                 return;
             }
+            self.take_in();
         }
     }
 
--- a/crates/session/src/core/mod.rs
+++ b/crates/session/src/core/mod.rs
@@ -3,12 +3,13 @@
 mod actions;
 mod attempts;
 mod check;
+mod inputs;
 mod list_news;
 mod playing;
 mod viewers;
 
 use crate::gauge::Gauge;
-use crate::held::{Phase, Session};
+use crate::held::Session;
 use crate::learn::{Learning, Shelf};
 use crate::list::{SavedList, ServerList};
 use crate::lives::Lives;
@@ -16,10 +17,9 @@
 use crate::routes::Routes;
 use crate::stats::Stats;
 use crate::terms::Terms;
-use crate::timers::{Due, Timers};
+use crate::timers::Timers;
 use crate::types::*;
-use cloverhollow::{Action, Before, Event, RequestId, ServerId};
-use cloverhollow_recovery::{Recovered, Trust};
+use cloverhollow::{Action, Event, RequestId, ServerId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -142,6 +142,19 @@
         &mut self,
         now: Duration,
         inputs: impl IntoIterator<Item = Input<A, B>>,
+    ) -> Vec<Command<A, B>> {
+        let mut commands = self.take_in(now, inputs);
+        commands.extend(self.decide());
+        commands
+    }
+
+    /// The first half of a step: what follows from the inputs alone, answers of servers to those who wait for them among it.
+    /// [`Core::decide`] comes next, before anything else is taken in. A shell that carries this out before it has the module
+    /// decide lets no answer wait for what others are decided.
+    pub fn take_in(
+        &mut self,
+        now: Duration,
+        inputs: impl IntoIterator<Item = Input<A, B>>,
     ) -> Vec<Command<A, B>> {
         self.now = self.now.max(now);
         for input in inputs {
@@ -150,6 +163,11 @@
         while let Some(due) = self.timers.pop(self.now) {
             self.fire(due);
         }
+        std::mem::take(&mut self.commands)
+    }
+
+    /// The second half: the module decides, in the instant of the first.
+    pub fn decide(&mut self) -> Vec<Command<A, B>> {
         for _ in 0..MOST_ROUNDS {
             if self.events.is_empty() {
                 break;
@@ -166,83 +184,4 @@
         self.learning.publish();
         std::mem::take(&mut self.commands)
     }
-
-    fn take(&mut self, input: Input<A, B>) {
-        match input {
-            Input::Arrived(arrival) => self.arrived(arrival),
-            Input::HungUp { viewer, sid } => self.hung_up(viewer, &sid),
-            Input::Playing { attempt, load, answer } => self.playing(attempt, load, answer),
-            Input::AttemptEnded { attempt, end, load } => self.attempt_ended(attempt, end, load),
-            Input::Reading { request, server, load } => self.reading(request, server, load),
-            Input::Lost { request } => self.over(request, OverWhy::Lost, Load::default()),
-            Input::Over { sid, why, load } => {
-                if let Some(request) = self.by_sid.get(&sid).copied() {
-                    self.over(request, why, load);
-                }
-            }
-            Input::Adopted { arrival, server } => self.adopted(arrival, server),
-            Input::Note { sid, note } => self.note(&sid, note),
-            Input::List(news) => self.news(news),
-            Input::Told { peer, asked_at, nonce, message } => {
-                let merged = self.learning.merge(self.now, asked_at, nonce, &message);
-                let outcome = merged.map(|(heard, said)| {
-                    self.events.extend(heard.into_iter().map(Event::Heard));
-                    said
-                });
-                if let Err(error) = outcome {
-                    tracing::warn!(%peer, %error, "a peer's word is not taken");
-                }
-                self.commands.push(Command::Merged { peer, outcome });
-            }
-            Input::Clock(ahead) => self.events.push(Event::Clock(ahead)),
-            Input::Heard(heard) => self.events.push(Event::Heard(heard)),
-            Input::Counted { fronts } => self.events.push(Event::Counted { fronts }),
-            Input::Recovered(recovered) => self.recovered(*recovered),
-            Input::Remembered(message) => {
-                let heard = self.learning.remember(self.now, &message);
-                self.events.extend(heard.into_iter().map(Event::Heard));
-            }
-        }
-    }
-
-    fn fire(&mut self, due: Due) {
-        match due {
-            Due::Policy(token) => self.events.push(Event::Timer(token)),
-            Due::Attempt(attempt) => self.recall(attempt, RecallWhy::TimedOut),
-            Due::Viewer(sid, viewer) => {
-                let answer = Answer::Failed { late: true, reason: Reason::TimeUp };
-                if self.stop_waiting(viewer, &sid) {
-                    self.answer(viewer, answer);
-                    self.nobody_waits(&sid);
-                }
-            }
-            Due::Idle(request) => {
-                let Some(Session { phase: Phase::Playing { route, .. }, .. }) = self.sessions.get(&request)
-                else {
-                    return;
-                };
-                let Some(idle) = self.terms.idle else { return };
-                let seen = if route.is_fetching() { self.now } else { route.seen() };
-                let until = seen + idle;
-                if until <= self.now {
-                    self.over(request, OverWhy::Idle, Load::default());
-                } else {
-                    self.timers.arm(until, Due::Idle(request));
-                }
-            }
-        }
-    }
-
-    /// What earlier lives did, as far as it is proven. What is not proven counts as done.
-    fn recovered(&mut self, mut r: Recovered) {
-        let (paid, stopped) = (r.paid.iter().len(), r.stopped.len());
-        tracing::info!(proven = r.trust.words(), paid, stopped, "this front ran before");
-        let waits = self.terms.classes.iter().filter(|c| c.paid).map(|c| c.deadline);
-        self.lives.recovered(self.now, &mut r, waits.max().unwrap_or_default());
-        let ran = (r.trust != Trust::First).then_some(Duration::ZERO);
-        // A front that keeps nothing has no list but what discovery tells it from now on.
-        let doubts = !matches!(r.trust, Trust::First | Trust::Unkept);
-        let late = self.terms.memory.as_ref().filter(|_| doubts).map_or(Duration::ZERO, |m| m.list_late);
-        self.events.push(Event::Before(Before { further: r.further, known: r.known, ran, late }));
-    }
 }
