What begins to play in the instant in which its viewer goes is released at its server

Seen by forcing it (the process stopped while the viewer's TEARDOWN and the server's STARTED were written, in this order): both came into one step. The core took the hang-up, then the answer; the session played for nobody and was over at once. The attempt was done on its connection already, so no giving up went out; `Command::Release` (desk/mod.rs) is carried out only for what stands here, and it did not. Nobody told the server, which held the session for its whole length. With the same id asked again in that instant the core held it too (`Answer::Follow`), for good.

`Command::Over` is now where that is settled: a session that played in the core and stands nowhere at that server is released there. The path for the other order (answer, then hang-up) goes the same way, and a request that would follow ends it. Red without: a_session_that_begins_in_the_instant..., ..._though_its_id_comes_again. With `knows` in place of `stands_at`, ..._before_its_id_is_set_up_again is red.

--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -179,8 +179,6 @@
                 let Some((conn, sid)) = self.standing.answered(viewer, stands) else {
                     // Its viewer went in this instant: nobody takes what the server has begun.
                     if let Answer::Stream { route, .. } = answer {
-                        let line = Line::finish(&route.sid, cause::CANCELLED).encode();
-                        self.links.tell(route.server, line);
                         self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
                     }
                     return;
@@ -191,8 +189,13 @@
                 tracing::debug!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
                 let text = viewer::answer(&sid, &answer, |description| description.clone().into());
                 self.write(conn, text);
-                if stands.is_some() {
-                    self.usual(conn);
+                match answer {
+                    Answer::Stream { .. } => self.usual(conn),
+                    // It came under the id of one whose viewer went as it began to play: nobody follows here.
+                    Answer::Follow(route) => {
+                        self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
+                    }
+                    Answer::Refused { .. } | Answer::Failed { .. } => {}
                 }
             }
             Command::Release { server, sid, .. } => {
@@ -200,11 +203,7 @@
                     self.links.tell(server, Line::finish(&sid, cause::CANCELLED).encode());
                 }
             }
-            Command::Over { sid, .. } => {
-                if let Some(release) = self.standing.over(&sid) {
-                    self.release(release);
-                }
-            }
+            Command::Over { sid, server, .. } => self.over(&sid, server),
             Command::Rung { server, sid, rung } => {
                 let line = Line::new(Verb::Rate, &sid).with("rung", rung);
                 self.links.tell(server, line.encode());
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -89,6 +89,16 @@
         self.ended(ended, Load::default());
     }
 
+    /// A session that played in the core is over: its viewer is told, where it is owed that. Guards one that began to
+    /// play in the instant in which its viewer went: it stands nowhere here, and its server would hold it for nobody.
+    pub(super) fn over(&mut self, sid: &Sid, server: ServerId) {
+        if !self.standing.stands_at(server, sid) {
+            self.links.tell(server, Line::finish(sid, cause::CANCELLED).encode());
+        } else if let Some(release) = self.standing.over(sid) {
+            self.release(release);
+        }
+    }
+
     pub(super) fn look(&mut self) {
         let now = self.clock.now();
         if let Some(gossip) = &mut self.gossip {
--- a/crates/platform/src/standing.rs
+++ b/crates/platform/src/standing.rs
@@ -238,10 +238,10 @@
 
     /// A server's release of a session that stands there; whether it does.
     pub fn released(&mut self, server: ServerId, sid: &str, cause: i64) -> bool {
-        let Some(s) = self.sessions.get_mut(sid) else { return false };
-        if !matches!(s.state, State::Stands(at) if at == server) {
+        if !self.stands_at(server, sid) {
             return false;
         }
+        let Some(s) = self.sessions.get_mut(sid) else { return false };
         s.held = false;
         s.cause = s.cause.map(|_| cause).filter(|c| *c != cause::CANCELLED);
         true
@@ -258,6 +258,11 @@
         self.by_server.contains_key(&server)
     }
 
+    /// Whether that session stands at that server.
+    pub fn stands_at(&self, server: ServerId, sid: &str) -> bool {
+        self.sessions.get(sid).is_some_and(|s| matches!(s.state, State::Stands(at) if at == server))
+    }
+
     /// Whether its server may still hold a session that stands.
     pub fn is_held(&self, sid: &str) -> bool {
         self.sessions.get(sid).is_some_and(|s| s.held && matches!(s.state, State::Stands(_)))
