Connections to video servers: every release gets there, an end names its set-up, reads go on

Found by reading, each forced red by taking its mend out by hand (links/, link/, mail.rs as they were):

- A give-up was dropped where the queue was full (`recall` took no notice of `write`), and `close` aborted the task with all that was queued.
Two places of each queue are kept for the last words and the close.
Test: a_set_up_is_given_up...
- Of lines that waited for a connection 256 were kept, the oldest went, releases among them; and what a full queue did not take waited until another connection came up, while none was opened.
Releases are bounded by themselves, by the sessions held; `look` tries them again.
Tests: every_release_that_is_owed..., what_a_slow_server_was_not_told...
- Lines queued on a connection that broke were lost with it, and so were those written as its server closed it.
Its task gives back the releases not written, or written in the last second; they go on the next.
Test: a_release_that_crosses_the_close...
- A write of up to 2 s kept the task from reading, and a failed write dropped what had come: answers.
Reads and writes go on side by side; what had come before a break is read.
Tests: what_comes_while_a_write_waits..., what_came_before_a_reset...
- A cut or unreadable answer (`Down::Spoilt`), or one without a description, left its session standing at its server.
It is given up there.
Test: a_session_whose_answer_was_cut_or_is_noise...
- A second copy of a refusal would end the next attempt of the same session on the same connection: no session goes on one twice.
Test: a_second_copy_of_a_refusal...
- `connect-timeout` zero or absent made each connection fail at once; it counts as not told (1 s).
- An answer under an id that stands or is asked elsewhere was left standing; it is given up where it came from.

Checked and standing: a connection that does not come up in time is let go by the system too (a_connection_that_comes_up_late_is_none; red with the connect in a task of its own).

--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -153,12 +153,12 @@
             Mail::Unreadable(conn, status, to) => self.unreadable(conn, status, &to),
             Mail::Closed(conn) => self.closed(conn),
             Mail::Up(link) => self.links.up(link),
-            Mail::Unsent(link) => {
-                let ended = self.links.unsent(link);
+            Mail::Unsent(link, attempt) => {
+                let ended = self.links.unsent(link, attempt);
                 self.ended(ended, Load::default());
             }
             Mail::Line(link, line) => self.line(link, line),
-            Mail::Down(link, down) => self.down(link, down),
+            Mail::Down(link, down, owed) => self.down(link, down, owed),
             Mail::Told(told) => self.told(told),
             Mail::Gossip(bytes) => self.gossiped(&bytes),
             Mail::Config(config) => self.configured(&config),
@@ -200,13 +200,13 @@
             }
             Command::Release { server, sid, .. } => {
                 if self.standing.is_held(&sid) {
-                    self.links.tell(server, Line::finish(&sid, cause::CANCELLED).encode());
+                    self.links.tell(server, Line::finish(&sid, cause::CANCELLED));
                 }
             }
             Command::Over { sid, server, .. } => self.over(&sid, server),
             Command::Rung { server, sid, rung } => {
                 let line = Line::new(Verb::Rate, &sid).with("rung", rung);
-                self.links.tell(server, line.encode());
+                self.links.tell(server, line);
             }
             // No disk survives this process, and it asks no peers.
             Command::Keep(_) | Command::Merged { .. } => {}
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -32,7 +32,10 @@
                     let Some(attempt) = self.links.done(id) else { return };
                     self.inputs.push(Input::Playing { attempt, load: Load::default(), answer });
                 }
-                None => self.down(id, Down::Broke),
+                None => {
+                    let ended = self.links.spoilt(id);
+                    self.ended(ended, told::load(&line));
+                }
             },
             (Verb::Finish, true) => {
                 let end = match line.rc {
@@ -68,19 +71,24 @@
             }
             (Verb::Echo, _) => {
                 let passed = Line { rc: Some(1), ..Line::new(Verb::Echoed, &line.tag) };
-                self.links.tell(server, passed.encode());
+                self.links.tell(server, passed);
             }
-            // A set-up that was given up, or an answer to nothing: it holds nothing that anybody waits for.
-            // On one that is being closed its give-up went out already.
-            (Verb::Started, false) if !closing && !self.standing.knows(&line.tag) => {
-                self.links.tell(server, Line::finish(&line.tag, cause::DONE).encode());
+            // A set-up that was given up, or an answer to nothing: it holds nothing that anybody waits for, also where
+            // its session stands or is being set up elsewhere. On one that is being closed its give-up went out already.
+            (Verb::Started, false) if !closing && self.nobodys(server, &line.tag) => {
+                self.links.tell(server, Line::finish(&line.tag, cause::DONE));
             }
             _ => {}
         }
     }
 
-    pub(super) fn down(&mut self, id: LinkId, down: Down) {
-        let ended = self.links.down(id, down);
+    /// Whether a session neither stands at that server nor is being set up there.
+    fn nobodys(&self, server: ServerId, sid: &str) -> bool {
+        !self.standing.stands_at(server, sid) && !self.links.out_to(server, sid)
+    }
+
+    pub(super) fn down(&mut self, id: LinkId, down: Down, owed: Vec<Line>) {
+        let ended = self.links.down(id, down, owed);
         self.ended(ended, Load::default());
     }
 
@@ -93,7 +101,7 @@
     /// play in the instant in which its viewer went: it stands nowhere here, and its server would hold it for nobody.
     pub(super) fn over(&mut self, sid: &Sid, server: ServerId) {
         if !self.standing.stands_at(server, sid) {
-            self.links.tell(server, Line::finish(sid, cause::CANCELLED).encode());
+            self.links.tell(server, Line::finish(sid, cause::CANCELLED));
         } else if let Some(release) = self.standing.over(sid) {
             self.release(release);
         }
--- /dev/null
+++ b/crates/node/src/links/mod.rs
@@ -0,0 +1,216 @@
+//! All connections to video servers: which carries a set-up, a line, or waits; and what is proven of a set-up when
+//! its connection ends. What is believed of the servers is [`Watch`]'s; here it is put on connections.
+
+mod ends;
+mod waiting;
+
+use crate::link::{self, Way};
+use crate::mail::{First, Hold, Mail};
+use bytes::Bytes;
+use cloverhollow::ServerId;
+use cloverhollow_net::{Clock, Gate};
+use cloverhollow_platform::lines::{cause, Line};
+use cloverhollow_platform::watch::{Act, Down, LinkId, Watch};
+use cloverhollow_session::{AttemptEnd, AttemptId, RecallWhy, Sid};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use waiting::Waiting;
+
+/// How long a connection may take to be made where the settings don't tell.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// A connection to a video server.
+struct Link {
+    server: ServerId,
+    hold: Hold,
+    up: bool,
+    /// It closes after what is queued: nothing more is written on it.
+    closing: bool,
+    /// The set-up that is open on it.
+    attempt: Option<(AttemptId, Sid)>,
+    /// The session of the last one. A second copy of its refusal would be taken for the next attempt's: no session
+    /// goes on one connection twice.
+    last: Option<Sid>,
+    /// Settles whether that set-up's first byte goes out.
+    gate: Arc<Gate>,
+}
+
+/// A set-up to be sent.
+pub(crate) struct Outgoing {
+    pub(crate) attempt: AttemptId,
+    pub(crate) server: ServerId,
+    pub(crate) address: SocketAddr,
+    pub(crate) sid: Sid,
+    /// It may take effect once only.
+    pub(crate) paid: bool,
+    pub(crate) line: Bytes,
+    /// If its first byte has not gone out by then, it never does.
+    pub(crate) until: Duration,
+}
+
+/// What came on a connection, as far as the connection tells.
+pub(crate) struct Heard {
+    pub(crate) server: ServerId,
+    /// It is about the set-up that is open there.
+    pub(crate) own: bool,
+    pub(crate) closing: bool,
+}
+
+/// What is proven of a set-up.
+pub(crate) type Ended = Option<(AttemptId, AttemptEnd)>;
+
+pub(crate) struct Links {
+    watch: Watch,
+    clock: Clock,
+    /// How long a connection may take to be made.
+    connect: Duration,
+    mail: mpsc::Sender<Mail>,
+    links: HashMap<LinkId, Link>,
+    out: HashMap<AttemptId, LinkId>,
+    /// Lines that wait for a connection to a video server.
+    waiting: HashMap<ServerId, Waiting>,
+    next: u64,
+}
+
+impl Links {
+    /// `connect`: zero: not told.
+    pub(crate) fn new(watch: Watch, clock: Clock, connect: Duration, mail: mpsc::Sender<Mail>) -> Self {
+        let connect = if connect.is_zero() { CONNECT } else { connect };
+        let (links, out, waiting) = (HashMap::new(), HashMap::new(), HashMap::new());
+        Links { watch, clock, connect, mail, links, out, waiting, next: 0 }
+    }
+
+    /// Sessions stand at that server from now on.
+    pub(crate) fn stands(&mut self, server: ServerId) {
+        self.watch.stands(self.clock.now(), server);
+    }
+
+    /// Sends a set-up, on a connection that is there and may carry it, else on a new one.
+    pub(crate) fn send(&mut self, out: Outgoing) {
+        let Outgoing { attempt, server, address, sid, paid, line, until } = out;
+        let gate = Arc::new(Gate::default());
+        let mut first = First { attempt, line, gate: gate.clone(), until, clock: self.clock };
+        let used = self.watch.take(self.clock.now(), server, paid);
+        if let Some((id, link)) = used.and_then(|id| Some((id, self.links.get_mut(&id)?))) {
+            if link.last.as_ref() != Some(&sid) {
+                match link.hold.setup(first) {
+                    Ok(()) => {
+                        link.last = Some(sid.clone());
+                        (link.attempt, link.gate) = (Some((attempt, sid)), gate);
+                        self.out.insert(attempt, id);
+                        return;
+                    }
+                    Err(back) => first = back,
+                }
+            }
+            self.close(id);
+        }
+        self.open(server, address, Some((attempt, sid)), Some(first));
+    }
+
+    fn open(
+        &mut self,
+        server: ServerId,
+        address: SocketAddr,
+        attempt: Option<(AttemptId, Sid)>,
+        first: Option<First>,
+    ) {
+        self.next += 1;
+        let id = LinkId(self.next);
+        let gate = first.as_ref().map(|f| f.gate.clone()).unwrap_or_default();
+        let way = Way { id, address, connect: self.connect };
+        let hold = link::spawn(way, first, self.mail.clone());
+        if let Some((attempt, _)) = &attempt {
+            self.out.insert(*attempt, id);
+        }
+        let last = attempt.as_ref().map(|(_, sid)| sid.clone());
+        self.links.insert(id, Link { server, hold, up: false, closing: false, attempt, last, gate });
+        self.watch.opening(server, id);
+    }
+
+    pub(crate) fn up(&mut self, id: LinkId) {
+        let now = self.clock.now();
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.up = true;
+        let server = link.server;
+        self.watch.up(now, server);
+        if link.attempt.is_none() {
+            self.watch.idle(now, server, id);
+        }
+        self.flush(server);
+    }
+
+    /// A line for a video server: on a connection that is there, else on the next.
+    pub(crate) fn tell(&mut self, server: ServerId, line: Line) {
+        let waits = self.waiting.contains_key(&server);
+        if !waits && self.at(server).is_some_and(|link| link.hold.write(line.encode())) {
+            return;
+        }
+        self.stands(server); // it is connected to for these lines
+        self.waiting.entry(server).or_default().push(&line);
+    }
+
+    /// A connection that is there and may carry a line.
+    fn at(&self, server: ServerId) -> Option<&Link> {
+        let idle = self.watch.link(server).and_then(|id| self.links.get(&id));
+        idle.or_else(|| self.links.values().find(|l| l.server == server && l.up && !l.closing))
+    }
+
+    /// Lines that waited go, all or none.
+    fn flush(&mut self, server: ServerId) {
+        let Some(lines) = self.waiting.get(&server) else { return };
+        if self.at(server).is_some_and(|link| link.hold.write(lines.bytes())) {
+            self.waiting.remove(&server);
+        }
+    }
+
+    /// Whether a set-up of that session is open at that server.
+    pub(crate) fn out_to(&self, server: ServerId, sid: &str) -> bool {
+        let open = |l: &Link| l.server == server && l.attempt.as_ref().is_some_and(|(_, s)| **s == *sid);
+        self.links.values().any(open)
+    }
+
+    /// A line came.
+    pub(crate) fn heard(&mut self, id: LinkId, line: &Line) -> Option<Heard> {
+        let link = self.links.get(&id)?;
+        self.watch.heard(self.clock.now(), link.server);
+        let own = link.attempt.as_ref().is_some_and(|(_, sid)| **sid == *line.tag);
+        Some(Heard { server: link.server, own, closing: link.closing })
+    }
+
+    /// Does what is due with connections; gives the servers whose sessions are cut.
+    pub(crate) fn look(
+        &mut self,
+        stands: impl Fn(ServerId) -> bool,
+        address: impl Fn(ServerId) -> Option<SocketAddr>,
+    ) -> Vec<ServerId> {
+        // A server that read too slowly may read on.
+        let late: Vec<_> = self.waiting.keys().copied().collect();
+        late.into_iter().for_each(|server| self.flush(server));
+        let waiting = &self.waiting;
+        let acts = self.watch.due(self.clock.now(), |s| stands(s) || waiting.contains_key(&s));
+        let mut cut = Vec::new();
+        for act in acts {
+            match act {
+                Act::Open(server) => match address(server) {
+                    Some(address) => self.open(server, address, None, None),
+                    None => cut.push(server),
+                },
+                Act::Close(id) => self.close(id),
+                Act::Cut(server) => cut.push(server),
+            }
+        }
+        cut
+    }
+
+    /// The sessions there are cut: lines about them go nowhere.
+    pub(crate) fn cut(&mut self, server: ServerId) {
+        self.waiting.remove(&server);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -8,6 +8,7 @@
 use cloverhollow_platform::rtsp::{Addressee, Message};
 use cloverhollow_platform::standing::ConnId;
 use cloverhollow_platform::watch::{Down, LinkId};
+use cloverhollow_session::AttemptId;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -16,6 +17,9 @@
 /// Most mails that wait for the desk, 16 KiB each at most; a sender past them waits, and with it its socket.
 pub(crate) const MOST_MAILS: usize = 512;
 
+/// Places of a connection's queue that are kept for its last bytes and its close.
+const KEPT: usize = 2;
+
 /// What a connection's task is to do.
 #[derive(Debug)]
 pub(crate) enum Order {
@@ -30,6 +34,7 @@
 /// A set-up for a connection.
 #[derive(Debug)]
 pub(crate) struct First {
+    pub(crate) attempt: AttemptId,
     pub(crate) line: Bytes,
     /// Settles whether its first byte goes out.
     pub(crate) gate: Arc<Gate>,
@@ -63,12 +68,12 @@
 }
 
 /// What was gathered besides bytes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Gathered {
     /// A close comes behind them.
     pub(crate) close: bool,
-    /// A set-up among them came too late to be written.
-    pub(crate) late: bool,
+    /// Set-ups among them that came too late to be written.
+    pub(crate) late: Vec<AttemptId>,
 }
 
 /// Gathers what is queued, beginning with `first`, into `out`, whose old bytes go.
@@ -85,7 +90,7 @@
             Some(Order::Setup(setup)) => match setup.pass() {
                 Passed::Goes => out.extend_from_slice(&setup.line),
                 Passed::Recalled => {}
-                Passed::Late => gathered.late = true,
+                Passed::Late => gathered.late.push(setup.attempt),
             },
             Some(Order::Close) | None => return Gathered { close: true, ..gathered },
         }
@@ -106,17 +111,22 @@
 impl Hold {
     /// Queues bytes; `false`: its peer reads too slowly, or the connection is gone.
     pub(crate) fn write(&self, bytes: Bytes) -> bool {
+        self.orders.capacity() > KEPT && self.last(bytes)
+    }
+
+    /// Queues the last bytes before a close, for which a place is kept; `false`: the connection is gone.
+    pub(crate) fn last(&self, bytes: Bytes) -> bool {
         self.orders.try_send(Order::Write(bytes)).is_ok()
     }
 
     /// Queues a set-up; gives it back if the queue is full or the connection is gone.
     pub(crate) fn setup(&self, setup: First) -> Result<(), First> {
         match self.orders.try_reserve() {
-            Ok(place) => {
+            Ok(place) if self.orders.capacity() >= KEPT => {
                 place.send(Order::Setup(setup));
                 Ok(())
             }
-            Err(_) => Err(setup),
+            _ => Err(setup),
         }
     }
 
@@ -145,12 +155,13 @@
     Closed(ConnId),
     /// A connection to a video server came up, and its first line, if there is one, goes out.
     Up(LinkId),
-    /// The set-up was not sent, and never will be on it: it was decided too long ago.
-    Unsent(LinkId),
+    /// That set-up was not sent, and never will be on it: it was decided too long ago.
+    Unsent(LinkId, AttemptId),
     /// A line of a video server.
     Line(LinkId, Line),
-    /// A connection to a video server is gone or did not come up.
-    Down(LinkId, Down),
+    /// A connection to a video server is gone or did not come up, and the releases of which it is not proven that they
+    /// were read there.
+    Down(LinkId, Down, Vec<Line>),
     /// An event of the command channel.
     Told(Told),
     /// A datagram of another session manager.
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -50,6 +50,8 @@
     Own,
     /// It was up, and broke or was closed.
     Broke,
+    /// It was up, and ended in what can't be read or in the middle of a line: an answer may be lost with it.
+    Spoilt,
 }
 
 #[derive(Debug, Default)]
@@ -155,7 +157,7 @@
             Down::NotUp => {
                 s.unreached.get_or_insert(now);
             }
-            Down::Own | Down::Broke => {}
+            Down::Own | Down::Broke | Down::Spoilt => {}
         }
         s.wait = (s.wait * 2).clamp(AGAIN, AGAIN_MOST);
         s.next = now + s.wait;
