--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -173,12 +173,12 @@
             Mail::Unreadable(conn, status, to) => self.unreadable(conn, status, &to),
             Mail::Closed(conn) => self.closed(conn),
             Mail::Up(link) => self.links.up(link),
-            Mail::Unsent(link) => {
-                let ended = self.links.unsent(link);
+            Mail::Unsent(link, attempt) => {
+                let ended = self.links.unsent(link, attempt);
                 self.ended(ended, Load::default());
             }
             Mail::Line(link, line) => self.line(link, line),
-            Mail::Down(link, down) => self.down(link, down),
+            Mail::Down(link, down, owed) => self.down(link, down, owed),
             Mail::Told(told) => self.told(told),
             Mail::Gossip(bytes) => self.gossiped(&bytes),
             Mail::Config(config) => self.configured(&config),
@@ -199,8 +199,6 @@
                 let Some((conn, sid)) = self.standing.answered(viewer, stands) else {
                     // Its viewer went in this instant: nobody takes what the server has begun.
                     if let Answer::Stream { route, .. } = answer {
-                        let line = Line::finish(&route.sid, cause::CANCELLED).encode();
-                        self.links.tell(route.server, line);
                         self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
                     }
                     return;
@@ -211,23 +209,24 @@
                 tracing::debug!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
                 let text = viewer::answer(&sid, &answer, |description| description.clone().into());
                 self.write(conn, text);
-                if stands.is_some() {
-                    self.usual(conn);
+                match answer {
+                    Answer::Stream { .. } => self.usual(conn),
+                    // It came under the id of one whose viewer went as it began to play: nobody follows here.
+                    Answer::Follow(route) => {
+                        self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
+                    }
+                    Answer::Refused { .. } | Answer::Failed { .. } => {}
                 }
             }
             Command::Release { server, sid, .. } => {
                 if self.standing.is_held(&sid) {
-                    self.links.tell(server, Line::finish(&sid, cause::CANCELLED).encode());
-                }
-            }
-            Command::Over { sid, .. } => {
-                if let Some(release) = self.standing.over(&sid) {
-                    self.release(release);
+                    self.links.tell(server, Line::finish(&sid, cause::CANCELLED));
                 }
             }
+            Command::Over { sid, server, .. } => self.over(&sid, server),
             Command::Rung { server, sid, rung } => {
                 let line = Line::new(Verb::Rate, &sid).with("rung", rung);
-                self.links.tell(server, line.encode());
+                self.links.tell(server, line);
             }
             // No disk survives this process, and it asks no peers.
             Command::Keep(_) | Command::Merged { .. } => {}
