Cold servers: N + 2 root N + 2; earlier lives' turns count; late set-ups never go

Need: beyond its budget of N set-ups a cold server is given 2 x root of N + 2 for chance, not 3 x root of N + 3, with twenty or thirty processes as with three hundred, also while they restart and stand still.

Found by reading: - platform/settings.rs FALL_FREE, FALL_ROOT: the old line. - node/process.rs: a session manager keeps nothing, and its module was never told that an earlier life may have set up a moment ago, so each life used its turn (or its part) anew. It is told now (Recovered::unkept, the ration as before). - session/core/actions.rs, STALE: the bound reckons with set-ups that come 250 ms after their decision (LATE), but one could go out up to 1 s after it: its process stood still, its connection came up late. The module now says by when a set-up to a cold server has to go out (send_within, 200 ms); the core bounds the gate by it.

--- a/crates/decisions/src/brain/mod.rs
+++ b/crates/decisions/src/brain/mod.rs
@@ -28,6 +28,8 @@
 const OPEN: f64 = 2.0;
 /// A set-up comes so long after it was decided at the latest, the difference of the fronts' clocks in it.
 const LATE: Duration = Duration::from_millis(250);
+/// Of that, the way to the server and the difference of the clocks.
+const WAY: Duration = Duration::from_millis(50);
 /// How much lower the mark of a step of lesser worth per kB is: the mark goes with this power of it.
 const STEP_POWER: f64 = 0.15;
 /// Usual age of a load report that comes without one: about half of a usual refresh and the way.
--- a/crates/decisions/src/brain/news.rs
+++ b/crates/decisions/src/brain/news.rs
@@ -129,6 +129,13 @@
         opened < open && s.sent.max(self.ran).is_none_or(|t| since(t) > opened + secs(LATE))
     }
 
+    /// A set-up to a cold server that was just decided goes out within this or never, lest it comes after its
+    /// turn: its front stood still, or its connection came up late (rule 4). May hurt: it uses up an attempt.
+    pub fn send_within(&self, server: ServerId) -> Option<Duration> {
+        let s = self.servers.get(&server)?;
+        (self.is_cold(s) || self.doubt > self.now).then_some(LATE - WAY)
+    }
+
     /// Guards a front that dies and comes back against spending anew what its last life spent (rules 4, 6):
     /// what cannot be proven otherwise counts as spent for one span. And against servers that started anew
     /// while it was dead, of which its list is yet to tell: each gets its set-ups as a cold one would. May
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -92,3 +92,37 @@
     brain.step(now + ms(100), &[Event::Playing(request, 0, server, ms(100))]);
     server
 }
+
+/// What a window holds under the line at which a cold server falls, by the settings.
+pub fn line(set: &Settings) -> f64 {
+    let r = &set.rules;
+    let n = r.fall_multiple * set.streams_by_kind[0] / r.cold.as_secs_f64() * r.cold_from;
+    n * r.fall_span.as_secs_f64() + r.fall_free + r.fall_root * (n * r.fall_span.as_secs_f64()).sqrt()
+}
+
+/// A front that is told of servers `0..servers`, all of which started just now.
+pub fn cold_front(set: &Settings, number: Option<usize>, seed: u64, servers: u64) -> Brain {
+    let mut brain = Brain::new(Settings { number, ..set.clone() }, seed);
+    let cold = |s: u64| Entry { started: START - ms(100), key: s.wrapping_mul(7919), ..entry(s) };
+    brain.step(START, &[Event::List(ListMode::Stale, (0..servers).map(cold).collect())]);
+    brain
+}
+
+/// Sends as much as it may: a call at each of these times, each called off at once. When, ms after the start.
+pub fn all_it_may(brain: &mut Brain, times: impl Iterator<Item = u64>) -> Vec<u64> {
+    let mut sent = Vec::new();
+    for k in times {
+        let t = START + ms(k);
+        let went = sends(&brain.step(t, &[Event::Call(call(k, 1, t))]));
+        sent.extend(went.iter().map(|_| k));
+        let off = |s: &(u64, u64)| Event::Ended(s.0, 0, s.1, Outcome::Moot, true, Report::default());
+        brain.step(t, &went.iter().map(off).collect::<Vec<_>>());
+    }
+    sent
+}
+
+/// The fullest window of one second, by when set-ups came.
+pub fn fullest(mut came: Vec<u64>) -> usize {
+    came.sort_unstable();
+    (0..came.len()).map(|i| came[i..].iter().take_while(|t| **t < came[i] + 1000).count()).max().unwrap_or(0)
+}
--- a/crates/lab/src/policies.rs
+++ b/crates/lab/src/policies.rs
@@ -243,4 +243,8 @@
         let actions = self.brain.step(now, &told);
         actions.into_iter().filter_map(|a| self.spoil(a)).collect()
     }
+
+    fn send_within(&self, server: ServerId) -> Option<Duration> {
+        self.brain.send_within(server)
+    }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -9,6 +9,7 @@
 use cloverhollow_net::{unix_ms, Clock};
 use cloverhollow_platform::config::{self, Config, ConfigError};
 use cloverhollow_platform::watch::Watch;
+use cloverhollow_recovery::Recovered;
 use cloverhollow_session::{ClassTerms, Core, Input, Terms};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -88,6 +89,8 @@
         desk.gossip = GossipSocket::open(listen, &peers, seed, mail.clone()).await;
     }
     desk.first(Input::Clock(ahead));
+    // Nothing is kept, so an earlier life may have set up somewhere a moment ago: its turns at cold servers count as used.
+    desk.first(Input::Recovered(Box::new(Recovered { known: Duration::MAX, ..Recovered::unkept() })));
     for told in known {
         desk.told(told);
     }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -20,11 +20,12 @@
     names.iter().position(|n| n == name)
 }
 
-/// A cold server falls when it gets more than N + 3 x root of N + 3 set-ups in the time that the settings name, N being what
-/// they allow it then: the platform's own words, which its settings don't repeat.
-const FALL_FREE: f64 = 3.0;
+/// Beyond N set-ups in the time that the settings name, N being what they allow a cold server then, 2 x root of N + 2 are
+/// put down to chance: the platform's own words, which its settings don't repeat. Its servers fall later, past
+/// N + 3 x root of N + 3; the stricter line is kept.
+const FALL_FREE: f64 = 2.0;
 /// See above.
-const FALL_ROOT: f64 = 3.0;
+const FALL_ROOT: f64 = 2.0;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/session/src/core/actions.rs
+++ b/crates/session/src/core/actions.rs
@@ -66,7 +66,8 @@
         let (paid, further) = (s.paid, number > 0 && rationed);
         let kept = self.terms.memory.is_some() && (paid || further);
         let deed = kept.then(|| Deed::Out { sid: sid.to_string(), server, paid, further });
-        let until = self.now + if further { STALE_FURTHER } else { STALE };
+        let usual = if further { STALE_FURTHER } else { STALE };
+        let until = self.now + self.policy.send_within(server).map_or(usual, |soon| soon.min(usual));
         if number > 0 {
             tracing::info!(session = %sid, %attempt, server, "tries again");
         }
--- a/crates/session/tests/platform.rs
+++ b/crates/session/tests/platform.rs
@@ -108,3 +108,17 @@
         (vec![], Some("1 failed server-failed"))
     );
 }
+
+/// A set-up that is decided in a turn at a cold server and goes out later comes on top of those whose turn it is then.
+#[test]
+fn a_set_up_to_a_cold_server_goes_out_soon_or_never() {
+    let until = |ago: Option<u64>| {
+        let mut core = plain();
+        let entry = ServerEntry { started_ms_ago: ago, ..server(1, WireState::Serving) };
+        let out = core.step(DAY, [list(ListMode::Whole, vec![entry]), call(1, "s", "clip")]);
+        sent(&out).until
+    };
+    assert_eq!(until(None), DAY + ms(1_000));
+    assert_eq!(until(Some(20_000)), DAY + ms(1_000), "it is warm by now");
+    assert_eq!(until(Some(100)), DAY + ms(200));
+}
