--- /dev/null
+++ b/crates/cli/tests/node_ramp.rs
@@ -0,0 +1,107 @@
+//! Rule 4 over processes: twenty and thirty session managers want one cold server, and its socket counts.
+//!
+//! Held: in every window of the fall's span since the server's start, all set-ups that its socket saw, whoever sent them,
+//! are N + 2 x root of N + 2 at the most. A server under a new name is sent to by none that was not told of it, however late
+//! that is. One that died and came back under its name is cold for all who met its death, told or not; a session manager
+//! that starts anew after that has the list of its own start. Not held, as nothing can tell it: a start that neither the
+//! list nor a broken or refused connection tells of.
+
+mod platform;
+mod ramp;
+
+use ramp::{entry, ms, Act, Seat, Server, Stage, Terms};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How the server starts cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    /// Under a new name.
+    New,
+    /// Under its name, after a death that all met.
+    Again,
+}
+
+/// Plays the day of that seed: the fullest window and the line.
+fn day(kind: Kind, seed: u64) -> (usize, usize, usize) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let fronts = if seed.is_multiple_of(2) { 20 } else { 30 };
+    let cold = rng.u64(2_000..=3_000);
+    let (fall, cold_from) = (rng.u64(250..=700), 0.3 + 0.3 * rng.f64());
+    let multiple = 1.5 + 1.5 * rng.f64();
+    // From a few set-ups in a window, by turns, to one or two of each session manager.
+    let n = [2.0, 5.0, 9.0, 14.0, 22.0, 40.0][seed as usize % 6];
+    let places = n / (multiple * cold_from * fall as f64 / cold as f64);
+    let terms = Terms { fronts, cold, cold_from, fall, multiple, places };
+    let server = Server::new([127, 7, kind as u8, seed as u8]);
+    let before = if kind == Kind::New { Vec::new() } else { vec![entry(0, &server, 0)] };
+    let (started, over) = (Mutex::new(None), AtomicBool::new(false));
+    let stage = Arc::new(Stage { terms: terms.clone(), before, started, over });
+    // On some days none is restarted, on others all, again and again; on some they stand still.
+    let (kills, stops) = ([0, 3, 6, 9][rng.usize(..4)], rng.usize(0..=2));
+    let name = format!("{kind:?}-{seed}");
+    let mut seats = Vec::new();
+    let (mut refused, mut served) = (Vec::new(), Vec::new());
+    for index in 0..fronts {
+        let mut acts: Vec<_> = (0..kills)
+            .map(|_| (ms(rng.u64(0..cold)), if rng.bool() { Act::Kill } else { Act::Term(rng.u64(50..400)) }))
+            .collect();
+        acts.extend((0..stops).map(|_| (ms(rng.u64(0..cold)), Act::Stop(rng.u64(100..900)))));
+        let told = (!rng.u8(..).is_multiple_of(6)).then(|| ms(rng.u64(0..cold / 4)));
+        // Whoever starts anew has the list of its start.
+        let told = if kind == Kind::Again && kills > 0 { Some(Duration::ZERO) } else { told };
+        let seat = Seat { index, told, acts, refused: Arc::default(), served: Arc::default() };
+        refused.push(seat.refused.clone());
+        served.push(seat.served.clone());
+        let (stage, name) = (stage.clone(), name.clone());
+        seats.push(std::thread::spawn(move || seat.play(&stage, &name)));
+    }
+    let all = |of: &[Arc<AtomicUsize>], more: usize, than: &[usize]| {
+        platform::until("each viewer hears", || {
+            of.iter().zip(than).all(|(now, was)| now.load(SeqCst) >= was + more).then_some(())
+        });
+    };
+    let now = |of: &[Arc<AtomicUsize>]| of.iter().map(|n| n.load(SeqCst)).collect::<Vec<_>>();
+    if kind == Kind::New {
+        all(&refused, 1, &vec![0; fronts]);
+    } else {
+        all(&served, 1, &vec![0; fronts]);
+        server.dies();
+        let was = now(&refused);
+        all(&refused, 2, &was);
+    }
+    let (begun, unix) = server.starts();
+    *stage.started.lock().unwrap() = Some((begun, entry(kind as usize, &server, unix)));
+    while begun.elapsed() < ms(cold) {
+        std::thread::sleep(ms(5));
+    }
+    stage.over.store(true, SeqCst);
+    seats.into_iter().for_each(|s| s.join().unwrap());
+    let came: Vec<Instant> =
+        server.came().iter().map(|(at, _)| *at).filter(|at| *at < begun + ms(cold)).collect();
+    let within = |from: usize| came[from..].iter().filter(|t| **t < came[from] + ms(fall)).count();
+    let fullest = (0..came.len()).map(within).max().unwrap_or(0);
+    println!("{name}: {fronts} of them, fullest window {fullest}, line {}, all {}", terms.line(), came.len());
+    (fullest, terms.line(), came.len())
+}
+
+fn days(kind: Kind, seeds: std::ops::Range<u64>) {
+    let mut used = 0;
+    for seed in seeds {
+        let (fullest, line, all) = day(kind, seed);
+        assert!(fullest <= line, "{kind:?}, seed {seed}: {fullest} in a window of {line}");
+        used += all;
+    }
+    assert!(used > 100, "the cold servers are used: {used}");
+}
+
+#[test]
+fn no_window_goes_over_at_a_new_server_told_late_while_managers_restart_and_stand_still() {
+    days(Kind::New, 0..12);
+}
+
+#[test]
+fn no_window_goes_over_at_a_server_that_died_and_came_back() {
+    days(Kind::Again, 0..10);
+}
