A set-up decided in a turn and held up past it never goes out: forced by SIGSTOP

tests/node_ramp.rs: a connection to a cold server is filled both ways, a set-up decided and queued behind it, the process stopped for 300 ms, the pipe drained, the process continued. Now it is never written, and the connection goes on. At a warm server it goes.

--- a/crates/cli/tests/node_ramp.rs
+++ b/crates/cli/tests/node_ramp.rs
@@ -9,10 +9,14 @@
 mod platform;
 mod ramp;
 
+use platform::{config, event, message, setup, start, until, Channel};
 use ramp::{entry, ms, Act, Seat, Server, Stage, Terms};
+use rustix::process::Signal;
+use serde_json::json;
+use std::io::{ErrorKind, Write};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// How the server starts cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -105,3 +109,84 @@
 fn no_window_goes_over_at_a_server_that_died_and_came_back() {
     days(Kind::Again, 0..10);
 }
+
+/// A connection on which nothing more can be written: both ways are full, and its server does not read.
+fn fill(link: &mut platform::Link) {
+    let echo = json!({"verb": "ECHO", "tag": "e".repeat(15_000), "opts": {}, "rc": 0});
+    let flood = format!("{echo}\n").into_bytes();
+    link.stream.set_nonblocking(true).unwrap();
+    let (mut at, mut stuck) = (0, Instant::now());
+    while stuck.elapsed() < ms(150) {
+        match link.stream.write(&flood[at..]) {
+            Ok(n) => (at, stuck) = ((at + n) % flood.len(), Instant::now()),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => std::thread::sleep(ms(1)),
+            Err(e) => panic!("{e}"),
+        }
+    }
+    link.stream.set_nonblocking(false).unwrap();
+    // The line that was cut is finished when there is room again.
+    let (mut stream, rest) = (link.stream.try_clone().unwrap(), flood[at..].to_vec());
+    std::thread::spawn(move || stream.write_all(&rest));
+}
+
+/// A set-up that is decided in a turn and whose process then stands still before its first byte comes on top of those whose
+/// turn it is when the process goes on: it never goes out. At a warm server, which counts nothing, it does.
+#[test]
+fn a_set_up_whose_process_stood_still_past_its_turn_never_goes_out() {
+    for (cold, goes) in [(true, false), (false, true)] {
+        let (channel, server) = (Channel::new(), platform::Server::new());
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64;
+        let mut c = config(channel.address(), &[]);
+        let at = platform::endpoint(0, server.address(), "in_service", if cold { unix } else { 0 });
+        c["known"] = json!({"cursor": 7, "cmds": [event(7, true, vec![at])]});
+        c["settings"]["invariants"] =
+            json!({"cold": 60_000, "cold-from": 0.5, "fall": 300, "fall-multiple": 2.0});
+        c["settings"]["domain"]["places-by-kind"] = json!([60_000.0]);
+        c["settings"]["limits"]["most-tries"] = json!(1);
+        let node = start(&format!("stood-still-{cold}"), &c);
+        let mut viewer = node.connect();
+        let mut link = until("its first turn", || {
+            viewer.write_all(setup(1, "clip", 1_900).as_bytes()).unwrap();
+            let mut got = None;
+            let link = until("a set-up or a refusal", || {
+                viewer.set_nonblocking(true).unwrap();
+                got = viewer.peek(&mut [0]).ok();
+                viewer.set_nonblocking(false).unwrap();
+                let link = server.accept_now();
+                (link.is_some() || got.is_some()).then_some(link)
+            });
+            if got.is_some() {
+                message(&mut viewer);
+            }
+            link
+        });
+        let tag = link.start().unwrap();
+        link.started(&tag);
+        assert!(message(&mut viewer).0.starts_with("RTSP/1.0 200 "));
+        fill(&mut link);
+        viewer.write_all(setup(2, "clip", 1_900).as_bytes()).unwrap();
+        // Messages are taken in order: with this answer the set-up before it is decided and waits for its connection.
+        viewer
+            .write_all(b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+            .unwrap();
+        assert!(message(&mut viewer).0.contains("CSeq: 3"));
+        node.signal(Signal::STOP);
+        std::thread::sleep(ms(300));
+        let (said, starts) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            while let Some(tag) = link.start() {
+                let _ = said.send(tag.clone());
+                link.started(&tag);
+            }
+        });
+        node.signal(Signal::CONT);
+        let got = message(&mut viewer).0;
+        assert_eq!(got.starts_with("RTSP/1.0 200 "), goes, "cold: {cold}: {got}");
+        assert_eq!(got.starts_with("RTSP/1.0 503 "), !goes, "cold: {cold}: {got}");
+        viewer.write_all(setup(3, "clip", 1_900).as_bytes()).unwrap();
+        assert!(message(&mut viewer).0.starts_with("RTSP/1.0 200 "), "the connection is as good as before");
+        let seen: Vec<_> = starts.try_iter().collect();
+        let tags: &[u64] = if goes { &[2, 3] } else { &[3] };
+        assert_eq!(seen, tags.iter().map(|t| format!("{t:016x}")).collect::<Vec<_>>());
+    }
+}
