--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -162,8 +162,8 @@
     /// A connection to a video server is gone or did not come up, and the releases of which it is not proven that they
     /// were read there.
     Down(LinkId, Down, Vec<Line>),
-    /// An event of the command channel.
-    Told(Told),
+    /// An event of the command channel, and on which of its streams it came.
+    Told(u64, Told),
     /// A datagram of another session manager.
     Gossip(Bytes),
     /// The configuration was read again.
