--- a/crates/node/src/desk/news/tests.rs
+++ b/crates/node/src/desk/news/tests.rs
@@ -72,7 +72,7 @@
 async fn a_word_of_the_list_on_the_same_process_drops_no_release_that_waits_for_it() {
     let mut rig = Rig::new().await;
     let server = rig.desk.directory.server("a").unwrap();
-    rig.desk.links.tell(server, Line::finish(SID, cause::CANCELLED).encode());
+    rig.desk.links.tell(server, Line::finish(SID, cause::CANCELLED));
     rig.told(2, "terminating", START);
     assert!(rig.first_line().await.contains(SID));
 }
@@ -81,9 +81,9 @@
 async fn another_process_under_the_name_gets_no_line_about_the_one_before() {
     let mut rig = Rig::new().await;
     let server = rig.desk.directory.server("a").unwrap();
-    rig.desk.links.tell(server, Line::finish(SID, cause::CANCELLED).encode());
+    rig.desk.links.tell(server, Line::finish(SID, cause::CANCELLED));
     rig.told(2, "in_service", START + 5_000);
-    rig.desk.links.tell(server, Line::finish("5c7e2d419b1f03aa", cause::CANCELLED).encode());
+    rig.desk.links.tell(server, Line::finish("5c7e2d419b1f03aa", cause::CANCELLED));
     assert!(rig.first_line().await.contains("5c7e2d419b1f03aa"));
 }
 
--- a/crates/platform/tests/zeros.rs
+++ b/crates/platform/tests/zeros.rs
@@ -25,7 +25,7 @@
             "places-by-kind": [500.0], "told-every": 3000.0, "told-late": 1000.0, "seats": [4.0, 4.0],
             "scale-by-class": [1.0, 1.0], "rack-link-kb": 400_000.0, "places": 8.0, "shelves": 4.0, "join": 1.0},
         "invariants": {"ask-within": 100.0, "budget-free": 5.0, "budget-span": 1000.0, "cold": 5000.0,
-            "cold-from": 2.0, "extra-share": 0.1, "fall": 1000.0, "fall-multiple": 2.0},
+            "cold-from": 0.5, "extra-share": 0.1, "fall": 1000.0, "fall-multiple": 2.0},
         "limits": {"retry-after": true, "max-retry-after": 700.0, "most-tries": 3, "connect-timeout": 250.0,
             "idle-close": 15_000.0},
     })
@@ -133,10 +133,8 @@
                     Servers::Refuse => inputs.push(end(s.attempt, AttemptEnd::NotConnected)),
                     Servers::Silent | Servers::None => _ = open.insert(s.attempt, s.sid),
                 },
-                Command::Recall { attempt, .. } => {
-                    if open.remove(&attempt).is_some() {
-                        inputs.push(end(attempt, AttemptEnd::Unanswered));
-                    }
+                Command::Recall { attempt, .. } if open.remove(&attempt).is_some() => {
+                    inputs.push(end(attempt, AttemptEnd::Unanswered));
                 }
                 Command::Answer { viewer, .. } => {
                     assert!(answers.insert(viewer, now).is_none(), "{case}: two answers");
