The laboratory counts attempts for viewers who left, by servers' and viewers' own clocks

The stand-in by lines: a set-up counts from when its bytes came, also while its process stood still; what is given up while it stands still is over from then on (rule 2 looked broken: two out at once, where the give-up lay in the socket of a vanished server); one that stands still ends no session (ends looked told late, 8.5 s after a server had vanished).

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,20 +1,19 @@
 //! Plays a day: stand-ins, discovery, fronts as processes, viewers and troubles on loopback; then the rules
 //! are checked from what passed.
 
-use crate::exchange::{Exchange, Log, Seen};
-use crate::fleet::{peer_cost, PeerCost};
+use crate::exchange::{Log, Seen};
+use crate::fleet::peer_cost;
 use crate::fronts::{forget, keep_file, FrontCommand, FrontError, Fronts, StartMode};
+pub use crate::outcome::Outcome;
 use crate::plan;
 use crate::policies::PolicyName;
-use crate::rules::{self, Verdict};
-use crate::score::Score;
+use crate::rules;
 use crate::script::Day;
 use crate::standin::{Discovery, ServerHandle, World};
 use crate::troubles::{entry, Stage};
 use crate::viewer::Audience;
-use crate::wires::{FaultReport, Wires};
+use crate::wires::Wires;
 use cloverhollow_session::WireState;
-use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
@@ -59,48 +58,6 @@
     Dir { dir: String, source: std::io::Error },
 }
 
-/// A day as it came out.
-#[derive(Debug, Serialize)]
-pub struct Outcome {
-    /// Its name.
-    pub day: String,
-    /// Its seed.
-    pub seed: u64,
-    /// Who decided.
-    pub policy: String,
-    /// How many servers, fronts and viewers.
-    pub servers: usize,
-    /// How many fronts.
-    pub fronts: usize,
-    /// How many viewers came.
-    pub viewers: usize,
-    /// Worth and latencies.
-    pub score: Score,
-    /// The rules.
-    pub rules: Vec<Verdict>,
-    /// Servers that fell over, by whoever's doing.
-    pub toppled: usize,
-    /// Fronts that were killed.
-    pub deaths: usize,
-    /// When the day began on the exchanges' clock.
-    #[serde(skip)]
-    pub start: Duration,
-    /// What the exchange of knowledge cost.
-    pub cost: PeerCost,
-    /// What befell the wires, as they saw it; times on the exchanges' clock.
-    pub faults: Vec<FaultReport>,
-    /// All that passed.
-    #[serde(skip)]
-    pub exchanges: Vec<Exchange>,
-}
-
-impl Outcome {
-    /// Whether every rule was kept.
-    pub fn kept(&self) -> bool {
-        self.rules.iter().all(|r| r.first.is_none())
-    }
-}
-
 /// Plays a day to its end.
 ///
 /// # Errors
@@ -178,7 +135,11 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(keep_house(world.clone(), script.fleet.report_every_ms.get()));
     let audience = Audience::new(shifted.clone(), fronts.clone(), log.clone(), start);
-    let audience = Arc::new(Audience { platform: options.platform.then(|| world.clone()), ..audience });
+    let audience = Arc::new(Audience {
+        platform: options.platform.then(|| world.clone()),
+        deaf: options.policy.deaf(),
+        ..audience
+    });
     let stage = Arc::new(Stage {
         script: shifted,
         world: world.clone(),
@@ -221,6 +182,7 @@
         cost,
         faults: wires.map(|w| w.faults.reports()).unwrap_or_default(),
         rules,
+        left: rules::left(&exchanges),
         exchanges,
     })
 }
--- a/crates/lab/src/rules/mod.rs
+++ b/crates/lab/src/rules/mod.rs
@@ -7,14 +7,18 @@
 mod cold;
 mod drains;
 mod ends;
+mod left;
 mod ration;
 mod setups;
 mod terms;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod tests_left;
 
 use crate::exchange::{Exchange, Seen};
 use crate::script::Script;
+pub use left::{left, Left};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -11,11 +11,11 @@
     Day::load(path).unwrap().script
 }
 
-fn log(all: Vec<(u64, Seen)>) -> Vec<Exchange> {
+pub(super) fn log(all: Vec<(u64, Seen)>) -> Vec<Exchange> {
     all.into_iter().map(|(ms, seen)| Exchange { at: Duration::from_millis(ms), seen }).collect()
 }
 
-fn setup(at: u64, server: u64, sid: &str) -> (u64, Seen) {
+pub(super) fn setup(at: u64, server: u64, sid: &str) -> (u64, Seen) {
     let (sid, arrived) = (Arc::from(sid), Duration::from_millis(at));
     let title = "t".into();
     (at, Seen::SetupRead { server, front: 0, sid, class: 0, title, kbps: 800, ran: true, arrived })
@@ -25,12 +25,12 @@
     (at, Seen::SetupClosed { server, sid: sid.into(), status: None })
 }
 
-fn called(at: u64, call: u64, sid: &str) -> (u64, Seen) {
+pub(super) fn called(at: u64, call: u64, sid: &str) -> (u64, Seen) {
     let patience = Duration::from_millis(2_000);
     (at, Seen::Called { call, sid: sid.into(), front: 0, class: 0, title: "t".into(), top: 2, patience })
 }
 
-fn ended(at: u64, call: u64, sid: &str, got: Got) -> (u64, Seen) {
+pub(super) fn ended(at: u64, call: u64, sid: &str, got: Got) -> (u64, Seen) {
     (at, Seen::CallEnded { call, sid: sid.into(), got })
 }
 
--- a/crates/lab/src/standin/lines.rs
+++ b/crates/lab/src/standin/lines.rs
@@ -2,13 +2,14 @@
 
 use super::platform::front_host;
 use super::server::{bind_at, OpenSetup, Standing};
+use super::sides::Sides;
 use crate::exchange::Seen;
 use crate::model::SetupVerdict;
 use bytes::BytesMut;
 use cloverhollow_platform::lines::{self, cause, Line, Verb};
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering::Relaxed;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,40 +19,6 @@
 
 /// Most lines that wait to be written to one connection.
 const MOST_LINES: usize = 4_096;
-/// Time between notes of short delivery.
-const NOTE: Duration = Duration::from_secs(1);
-
-/// What one front has at one server: its connections, and the sessions that stand with the connection of each.
-#[derive(Default)]
-struct Side {
-    next: u64,
-    conns: BTreeMap<u64, mpsc::Sender<Line>>,
-    standing: BTreeMap<Arc<str>, u64>,
-    /// Releases that had no connection to go on.
-    owed: Vec<Line>,
-}
-
-/// All fronts' sides of one server's process.
-#[derive(Default)]
-pub(super) struct Sides(Mutex<BTreeMap<usize, Side>>);
-
-impl Sides {
-    fn all(&self) -> MutexGuard<'_, BTreeMap<usize, Side>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// A line about a session that stands: on its own connection, else any, else the next.
-    fn tell(&self, front: usize, own: u64, line: Line) {
-        let mut all = self.all();
-        let side = all.entry(front).or_default();
-        let conn = side.conns.get(&own).or_else(|| side.conns.values().next());
-        match conn {
-            Some(conn) => drop(conn.try_send(line)),
-            None if line.verb == Verb::Finish => side.owed.push(line),
-            None => {}
-        }
-    }
-}
 
 impl Standing {
     /// One process's life for the fronts of the platform: each reaches it at an address of its own, by which it
@@ -105,18 +72,27 @@
                     if !matches!(read, Ok(n) if n > 0) {
                         break;
                     }
-                    self.runs().await;
+                    let (arrived, mut lines) = (self.world.log.now(), Vec::new());
                     loop {
-                        let line = match lines::decode(&mut buf) {
-                            Ok(Some(line)) => line,
+                        match lines::decode(&mut buf) {
+                            Ok(Some(line)) => lines.push(line),
                             Ok(None) => break,
                             Err(_) => break 'conn,
-                        };
+                        }
+                    }
+                    // What is given up while it stands still is over from then on.
+                    for line in lines.iter().filter(|l| l.verb == Verb::Finish) {
+                        if let Some(task) = open.remove(line.tag.as_str()) {
+                            task.abort();
+                        }
+                    }
+                    self.runs().await;
+                    for line in lines {
                         let sid: Arc<str> = line.tag.as_str().into();
                         match line.verb {
                             Verb::Start => {
                                 let (me, out, sides) = (self.clone(), out.clone(), sides.clone());
-                                let task = setups.spawn(me.set_up_by_line(front, id, line, out, sides));
+                                let task = setups.spawn(me.set_up_by_line((front, id, arrived), line, out, sides));
                                 open.insert(sid, task);
                             }
                             Verb::Finish => {
@@ -170,13 +146,11 @@
     /// Whether the connection lives on.
     async fn set_up_by_line(
         self: Arc<Self>,
-        front: usize,
-        conn: u64,
+        (front, conn, arrived): (usize, u64, Duration),
         line: Line,
         out: mpsc::Sender<Line>,
         sides: Arc<Sides>,
     ) -> bool {
-        let arrived = self.world.log.now();
         let sid: Arc<str> = line.tag.as_str().into();
         let finish = |cause| self.loaded(Line::finish(&sid, cause));
         let Some((class, title)) = self.world.asked(&sid) else {
@@ -186,7 +160,7 @@
         let rung = line.field("rung").and_then(|r| r.parse().ok()).unwrap_or(0);
         let kbps = self.world.kbps(class, rung);
         let rate = self.world.true_rate(&title, kbps);
-        let verdict = self.world.fleet().set_up(arrived, self.id, &sid, rate);
+        let verdict = self.world.fleet().set_up(self.world.log.now(), self.id, &sid, rate);
         let ran = !matches!(verdict, SetupVerdict::Full | SetupVerdict::Over);
         let server = self.id;
         self.world.log.put(Seen::SetupRead {
@@ -233,6 +207,8 @@
         let end = length.map_or(self.world.idle, Duration::from_millis);
         tokio::spawn(async move {
             sleep(end).await;
+            // One that stands still ends nothing; one that never goes on has no sessions.
+            self.runs().await;
             let stands = sides.all().get(&front).is_some_and(|s| s.standing.contains_key(&sid));
             if stands && self.let_go(&sid, front, &sides) {
                 sides.tell(front, conn, self.loaded(Line::finish(&sid, cause::DONE)));
@@ -253,42 +229,4 @@
             None => line,
         }
     }
-
-    /// Notes on one session of each front: link and uplink now and then, short delivery while it lasts.
-    async fn notes(self: Arc<Self>, sides: Arc<Sides>) {
-        let every = self.world.site.reports.every_ms.get();
-        let (mut next, mut short) = (Duration::ZERO, false);
-        loop {
-            sleep(NOTE).await;
-            self.runs().await;
-            let now = self.world.log.now();
-            let (share, load) = {
-                let fleet = self.world.fleet();
-                (fleet.share(now, self.id), fleet.load(now, self.id))
-            };
-            let mut notes = Vec::new();
-            if share < 0.98 || short {
-                notes.push(("kept_up", share));
-            }
-            short = share < 0.98;
-            if now >= next {
-                next = now + every;
-                notes.extend([("trunk", load.rack), ("wire", load.link)]);
-            }
-            let first: Vec<_> = {
-                let all = sides.all();
-                let first = |(front, side): (&usize, &Side)| {
-                    side.standing.iter().next().map(|(sid, conn)| (*front, sid.clone(), *conn))
-                };
-                all.iter().filter_map(first).collect()
-            };
-            for (front, sid, conn) in first {
-                for (name, value) in &notes {
-                    let line =
-                        Line::new(Verb::Notice, &sid).with("note", name).with("value", format!("{value:.3}"));
-                    sides.tell(front, conn, line);
-                }
-            }
-        }
-    }
 }
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -5,6 +5,7 @@
 mod lines;
 mod platform;
 mod server;
+mod sides;
 
 pub use discovery::Discovery;
 pub(crate) use platform::{config, front_host};
--- a/crates/lab/src/viewer_rtsp.rs
+++ b/crates/lab/src/viewer_rtsp.rs
@@ -83,6 +83,16 @@
         self.log.put(called);
         let ended = |got| self.log.put(Seen::CallEnded { call, sid: sid.clone(), got });
         let (setup, blob) = self.setup(v, &sid, tries);
+        // As one sees it whom the front hears late: it has left when its request is taken, and the front does not know.
+        if let (Some(stays), false) = (v.hang_up, self.deaf.is_zero()) {
+            sleep(stays).await;
+            ended(Got::HungUp);
+            self.log.put(Seen::ViewerOver { sid: sid.clone() });
+            sleep(self.deaf).await;
+            conn.write(setup).await;
+            sleep(self.deaf).await;
+            return Try::Done;
+        }
         if conn.write(setup).await.is_none() {
             ended(Got::Lost);
             return Try::Lost;
