--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -27,8 +27,8 @@
     pub score: Score,
     /// The rules.
     pub rules: Vec<Verdict>,
-    /// Attempts for viewers who had left.
-    pub left: Left,
+    /// Attempts for viewers who had left, on the platform.
+    pub left: Option<Left>,
     /// Servers that fell over, by whoever's doing.
     pub toppled: usize,
     /// Fronts that were killed.
@@ -48,6 +48,6 @@
 impl Outcome {
     /// Whether every rule was kept, and nothing begun long after its viewer had left.
     pub fn kept(&self) -> bool {
-        self.rules.iter().all(|r| r.first.is_none()) && self.left.first.is_none()
+        self.rules.iter().all(|r| r.first.is_none()) && self.left.as_ref().is_none_or(|l| l.first.is_none())
     }
 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -58,15 +58,16 @@
             let _ = writeln!(w, "       first: {first}");
         }
     }
-    let l = &o.left;
-    let state = if l.first.is_some() { "BROKEN" } else { "kept" };
-    let _ = writeln!(
+    if let Some(l) = &o.left {
+        let state = if l.first.is_some() { "BROKEN" } else { "kept" };
+        let _ = writeln!(
         w,
         "viewers who left get no attempt{:21} {state}  ({} left, {} of them tried before, {} attempts after, longest {:.1} ms, {} over 100 ms)",
         "", l.sessions, l.tried, l.after, l.longest_ms, l.broken
     );
-    if let Some(first) = &l.first {
-        let _ = writeln!(w, "       first: {first}");
+        if let Some(first) = &l.first {
+            let _ = writeln!(w, "       first: {first}");
+        }
     }
     out
 }
