The end of the process waits until the last answers are written

Seen by reading: `Desk::run` returned in the step that answered the last set-up past the grace (desk/mod.rs, `open() == 0`), and dropping the desk aborts the tasks that were to write it: the answer was lost, and so was a release queued in that step, and mails that still waited. Signals were taken over after the configuration was read: a SIGHUP or SIGTERM before that killed the process at once.

The end now needs no mail waiting, closes viewers' connections behind what is queued, and goes when all is written and they are closed, 0.3 s later at the most. Signals are taken first of all.

--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -3,6 +3,7 @@
 //! What has come in by one instant goes into one step. The desk never waits for a socket: it takes mails, steps,
 //! and queues bytes for the tasks that own the sockets; a queue that is full costs its connection.
 
+mod end;
 mod news;
 mod servers;
 mod viewers;
@@ -123,8 +124,9 @@
                 self.look();
             }
             self.step();
-            if self.terminating.is_some_and(|t| now >= t + grace) && self.standing.open() == 0 {
-                return;
+            let over = self.terminating.is_some_and(|t| now >= t + grace);
+            if over && self.standing.open() == 0 && mails.is_empty() {
+                return self.end(mails).await;
             }
         }
     }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -239,6 +239,11 @@
         cut
     }
 
+    /// Whether the tasks have taken all lines.
+    pub(crate) fn is_written(&self) -> bool {
+        self.links.values().all(|l| l.hold.is_written())
+    }
+
     /// The sessions there are cut: lines about them go nowhere.
     pub(crate) fn cut(&mut self, server: ServerId) {
         self.waiting.remove(&server);
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Whether its task has taken all that was queued.
+    pub(crate) fn is_written(&self) -> bool {
+        self.orders.is_closed() || self.orders.capacity() == self.orders.max_capacity()
+    }
+
     /// Has it closed after what is queued; `false`: it can't be told, dropping the hold closes it.
     pub(crate) fn close(&self) -> bool {
         self.orders.try_send(Order::Close).is_ok()
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -58,10 +58,11 @@
 /// # Errors
 /// It did not start.
 pub async fn run(file: PathBuf) -> Result<(), NodeError> {
-    let config = load(&file)?;
+    // First of all: a signal that comes while it starts is taken as any other.
     let sig = |kind| signal(kind).map_err(NodeError::Signal);
     let (term, int) = (sig(SignalKind::terminate())?, sig(SignalKind::interrupt())?);
     let hup = sig(SignalKind::hangup())?;
+    let config = load(&file)?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|source| NodeError::Listen { address: config.listen, source })?;
     let address = listener.local_addr().unwrap_or(config.listen);
@@ -70,6 +71,9 @@
     let (mail, mails) = mpsc::channel(MOST_MAILS);
     let (from, heard) = watch::channel(From { address: config.channel, cursor: 0, useless: 0 });
     let Config { site, seed, room, known, name, peer_listen, peers, .. } = config;
+    for (class, effect) in &site.doubted {
+        tracing::warn!(class, effect, "an effect that is not known: nothing that may have run is repeated");
+    }
     let clock = Clock::start();
     // By the wall clock all session managers reckon their turns alike.
     let ahead = Duration::from_millis(unix_ms()).saturating_sub(clock.now());
