A viewer's close or cancel is known at the gate of its set-up, and what is queued is written

Seen, on real sockets with the process standing still (SIGSTOP) while both sides of a crossing were put on them: - `node::listen::serve` awaited `mail.send` for each message and went on reading only after it. With 200 set-ups and a half close, or 200 taken back at once, waiting in the socket the desk stepped in between and attempts went out for a viewer who had left (`who_leaves_while_the_process_stands_still_gets_no_attempt`: "half close: an attempt went out", with 100 and a cancel the same). - A set-up behind a message that can't be used was begun though its connection was being closed (`Desk::message` did not look), and its answer was queued behind the close (`a_set_up_behind_one_that_can_not_be_used...`). - 1,500 releases at once closed a connection that read well: `listen::MOST_ORDERS` 512, and `Desk::release` dropped what could not be queued (`the_end_of_many_sessions_at_once_is_told_on_one_connection`). - The last answer before the end of the process was queued and never written: `process::run` returned with the desk (`the_last_answer_before_the_end_is_written`). Read besides: dropping `Hold` aborted the task of a connection that was closed to make room, with what was queued on it; the task ended at the first end of its read side with answers queued.

Change: what has come on a connection waits in a place of its own (`node::viewer`, bounded by bytes, on one and on all) and not in the desk's mailbox; the task reads and writes side by side. A step of the desk begins with all that viewers have said. `First::pass` asks right before the first byte whether the viewer has left: what was read and not taken, and the system itself (`poll`, RDHUP) for a close behind unread bytes; such a set-up was never sent, and the viewer is given up before its end is told, so no further attempt follows. The same is asked as an answer comes: the session is let go of. Dropping a viewer's hold lets the task write what is queued; descriptors stay bounded by places, those that are still being closed among them. Whole set-ups behind a bad message get their refusal. Releases that can't be queued go on another connection or wait. At its end the process waits up to 1 s for the last answers.

Guards broken by hand, seen red, restored: the look in `First::pass` (`who_is_found_gone_at_the_gate...`, `a_close_behind_what_was_not_read...`), `Desk::left` (the first of these), `hear` before a place is given up (`a_set_up_that_has_come_keeps_its_connection`), `look_for` as an answer comes (`who_is_found_gone_as_the_answer...`), going on after a half close (`what_was_answered_before_a_half_close...`), writing what is queued at the drop (`what_is_queued_when_the_desk_lets_go...`).

Two requests under one id on one connection still fail both, each with one answer: a client that sends such must not be served, so the first is not kept.

--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -10,7 +10,8 @@
 use crate::channel::From;
 use crate::gossip::GossipSocket;
 use crate::links::{Ended, Heard, Links, Outgoing};
-use crate::mail::{Hold, Mail};
+use crate::mail::Mail;
+use crate::viewer::{Came, ViewerHold, Waits};
 use bytes::Bytes;
 use cloverhollow::{Brain, ServerId};
 use cloverhollow_net::{unix_ms, Clock};
@@ -53,6 +54,14 @@
     pub(crate) open_on_one: usize,
 }
 
+/// What the desk is told by.
+pub(crate) struct Post {
+    /// For the tasks of connections to video servers.
+    pub(crate) mail: mpsc::Sender<Mail>,
+    /// Connections of viewers on which something has come.
+    pub(crate) rung: mpsc::Receiver<ConnId>,
+}
+
 pub(crate) struct Desk {
     pub(crate) core: NodeCore,
     pub(crate) clock: Clock,
@@ -62,7 +71,9 @@
     links: Links,
     pub(crate) bounds: Bounds,
     pub(crate) from: watch::Sender<From>,
-    conns: HashMap<ConnId, Hold>,
+    conns: HashMap<ConnId, ViewerHold>,
+    /// Connections of viewers on which something has come.
+    rung: mpsc::Receiver<ConnId>,
     next_viewer: u64,
     inputs: Vec<In>,
     terminating: Option<Duration>,
@@ -81,8 +92,9 @@
         watch: Watch,
         bounds: Bounds,
         from: watch::Sender<From>,
-        mail: mpsc::Sender<Mail>,
+        post: Post,
     ) -> Self {
+        let Post { mail, rung } = post;
         let links = Links::new(watch, clock, site.connect_timeout, mail);
         Desk {
             core,
@@ -94,6 +106,7 @@
             bounds,
             from,
             conns: HashMap::new(),
+            rung,
             next_viewer: 0,
             inputs: Vec::new(),
             terminating: None,
@@ -103,7 +116,8 @@
         }
     }
 
-    /// Runs until the process is to end and owes nothing more, `grace` after it was told.
+    /// Runs until the process is to end and owes nothing more, `grace` after it was told. What is queued for viewers
+    /// then is still written by their connections' tasks.
     pub(crate) async fn run(mut self, mut mails: mpsc::Receiver<Mail>, grace: Duration) {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
@@ -112,6 +126,7 @@
             let due = self.core.next_due().map_or(look, |d| d.min(look));
             tokio::select! {
                 n = mails.recv_many(&mut batch, BATCH) => if n == 0 { return },
+                Some(conn) = self.rung.recv() => self.take_in(conn),
                 () = tokio::time::sleep_until(self.clock.instant(due.max(now))) => {}
             }
             for mail in batch.drain(..) {
@@ -131,6 +146,7 @@
 
     /// Steps until what is answered at once (recalls) is used up.
     fn step(&mut self) {
+        self.hear();
         loop {
             let inputs = std::mem::take(&mut self.inputs);
             let commands = self.core.step(self.clock.now(), inputs);
@@ -149,11 +165,10 @@
     fn take(&mut self, mail: Mail) {
         match mail {
             Mail::Opened(conn, hold) => self.opened(conn, hold),
-            Mail::Viewer(conn, message) => self.message(conn, message),
-            Mail::Unreadable(conn, status, to) => self.unreadable(conn, status, &to),
-            Mail::Closed(conn) => self.closed(conn),
             Mail::Up(link) => self.links.up(link),
             Mail::Unsent(link) => {
+                // Who has left first, else the core would try again.
+                self.left(link);
                 let ended = self.links.unsent(link);
                 self.ended(ended, Load::default());
             }
@@ -176,6 +191,9 @@
                     Answer::Stream { route, .. } => Some((route.server, now)),
                     _ => None,
                 };
+                if let Answer::Stream { route, .. } = &answer {
+                    self.look_for(&route.sid);
+                }
                 let Some((conn, sid)) = self.standing.answered(viewer, stands) else {
                     // Its viewer went in this instant: nobody takes what the server has begun.
                     if let Answer::Stream { route, .. } = answer {
@@ -218,3 +236,6 @@
 fn over(sid: Sid, why: OverWhy, load: Load) -> In {
     Input::Over { sid, why, load }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -10,7 +10,8 @@
             .with("key", ask.key)
             .with("left", within.as_millis())
             .with("rung", rung);
-        self.links.send(Outgoing { attempt, server, address, sid, paid, line: line.encode(), until });
+        let waits = self.waits(&sid);
+        self.links.send(Outgoing { attempt, server, address, sid, paid, line: line.encode(), until, waits });
     }
 
     pub(super) fn ended(&mut self, ended: Ended, load: Load) {
--- /dev/null
+++ b/crates/node/src/desk/tests.rs
@@ -0,0 +1,197 @@
+//! The desk, its viewers' connections held by the test: nobody reads them but it.
+
+use super::*;
+use crate::viewer::{Bell, Reply, Viewer};
+use bytes::BytesMut;
+use cloverhollow_platform::config;
+use cloverhollow_platform::rtsp;
+use cloverhollow_session::{ClassTerms, Terms};
+use std::io::Write;
+use std::time::Instant;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+const LONG: Duration = Duration::from_secs(20);
+
+struct Rig {
+    desk: Desk,
+    mails: mpsc::Receiver<Mail>,
+    bell: Arc<Bell>,
+    servers: [TcpListener; 2],
+}
+
+impl Rig {
+    async fn new(bounds: Bounds) -> Rig {
+        let servers = [
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        ];
+        let entries: Vec<String> = (servers.iter().enumerate())
+            .map(|(i, s)| {
+                let at = s.local_addr().unwrap();
+                format!(
+                    r#"{{"name":"s-{i}","address":"{at}","zone":"east","type":"std","group":{i},
+                       "status":"in_service","weight":4.0,"since_ms":0}}"#
+                )
+            })
+            .collect();
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{{"sockets":256}},
+               "channel":"127.0.0.1:9","known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":{{"index":1,
+               "snapshot":true,"endpoints":[{}]}}}}]}},
+               "settings":{{"balancers":1,"index":0,"zone":"east","kinds":["std"],"discovery":"pushed",
+               "grades":[{{"name":"clip","aim":800.0,"deadline":2000.0,"effect":"idempotent","importance":1.0}}],
+               "domain":{{"level-kb":[200.0,800.0],"ladder-worth":[0.3,1.0],"link-unit-kb":100000.0,
+               "places-by-kind":[500.0],"told-every":3000.0,"told-late":1000.0}},
+               "limits":{{"most-tries":3,"connect-timeout":20000.0,"idle-close":15000.0}}}}}}"#,
+            entries.join(",")
+        );
+        let config = config::read(&text).unwrap();
+        let site = config.site;
+        let terms = Terms {
+            classes: vec![ClassTerms { paid: false, deadline: site.deadlines[0] }],
+            rates: vec![Arc::from([])],
+            kinds: site.names.kinds.clone(),
+            hall: site.names.zone.clone(),
+            hold_off: site.settings.limits.hold_off,
+            margin: Duration::ZERO,
+            most: 1_000,
+            waiting: 1,
+            idle: None,
+            memory: None,
+        };
+        let core = Core::new(Brain::new(site.settings.clone(), 1), terms, 1);
+        let watch = Watch::new(Duration::ZERO, site.idle_close, 8);
+        let (mail, mails) = mpsc::channel(crate::mail::MOST_MAILS);
+        let (rings, rung) = mpsc::channel(64);
+        let (from, _) = watch::channel(From { address: config.channel, cursor: 0, anew: 0 });
+        let clock = Clock::start();
+        let mut desk = Desk::new(core, clock, Arc::new(site), watch, bounds, from, Post { mail, rung });
+        for told in config.known {
+            desk.told(told);
+        }
+        desk.step();
+        Rig { desk, mails, bell: Bell::new(rings), servers }
+    }
+
+    /// A viewer's connection whose socket is never read.
+    async fn open(&mut self, id: u64) -> Open {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Arc::new(listener.accept().await.unwrap().0);
+        let viewer = Arc::new(Viewer::new(ConnId(id), &stream, self.bell.clone()));
+        let (replies, written) = mpsc::channel(64);
+        self.desk.take(Mail::Opened(ConnId(id), ViewerHold { replies, viewer: viewer.clone() }));
+        Open { viewer, _stream: stream, client, written }
+    }
+
+    /// Takes mails until one is as looked for, and that one too.
+    async fn until(&mut self, look: impl Fn(&Mail) -> bool) {
+        loop {
+            let mail = tokio::time::timeout(LONG, self.mails.recv()).await.expect("mail").unwrap();
+            let found = look(&mail);
+            self.desk.take(mail);
+            self.desk.step();
+            if found {
+                return;
+            }
+        }
+    }
+}
+
+struct Open {
+    viewer: Arc<Viewer>,
+    _stream: Arc<TcpStream>,
+    client: std::net::TcpStream,
+    written: mpsc::Receiver<Reply>,
+}
+
+impl Open {
+    /// The client closes, behind what nobody has read; waits for the system alone, no task runs meanwhile.
+    fn leave(mut self) -> impl Sized {
+        self.client.write_all(b"OPTIONS ").unwrap();
+        let Open { viewer, _stream, client, written } = self;
+        drop(client);
+        let begun = Instant::now();
+        while !viewer.has_closed() {
+            assert!(begun.elapsed() < LONG, "the close is not seen");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        (_stream, written)
+    }
+}
+
+fn setup(id: u64) -> Came {
+    let text = format!(
+        "SETUP rtsp://media/7f RTSP/1.0\r\nCSeq: 1\r\nSession: {id:016x}\r\nX-Service: clip\r\n\
+         X-Setup-Ms: 2000\r\nX-Route: home:0;copies:9;top:1\r\nContent-Length: 0\r\n\r\n"
+    );
+    Came::Message(rtsp::decode(&mut BytesMut::from(&*text)).unwrap().unwrap())
+}
+
+const BOUNDS: Bounds = Bounds { conns: 2, open: 8, open_on_one: 8 };
+
+/// The close is known at the gate alone: the set-up counts as never run, and no further attempt follows.
+#[tokio::test]
+async fn who_is_found_gone_at_the_gate_gets_no_further_attempt() {
+    let mut rig = Rig::new(BOUNDS).await;
+    let open = rig.open(1).await;
+    open.viewer.put(setup(1));
+    rig.desk.step();
+    assert_eq!((rig.desk.standing.open(), rig.desk.core.held()), (1, 1), "an attempt is on its way");
+    let _open = open.leave();
+    rig.until(|mail| matches!(mail, Mail::Unsent(_))).await;
+    assert_eq!((rig.desk.standing.open(), rig.desk.core.held()), (0, 0), "nobody waits for it");
+    for server in &rig.servers {
+        // The connection that was made stays; a second one was not begun.
+        let second = async {
+            server.accept().await.unwrap();
+            server.accept().await.unwrap();
+        };
+        tokio::select! {
+            biased;
+            () = second => panic!("a further attempt"),
+            () = tokio::task::yield_now() => {}
+        }
+    }
+}
+
+/// The same as the answer comes: the session is let go of at its server.
+#[tokio::test]
+async fn who_is_found_gone_as_the_answer_comes_leaves_no_session_behind() {
+    let mut rig = Rig::new(BOUNDS).await;
+    let open = rig.open(1).await;
+    open.viewer.put(setup(1));
+    rig.desk.step();
+    rig.until(|mail| matches!(mail, Mail::Up(_))).await;
+    let stream = tokio::select! {
+        came = rig.servers[0].accept() => came.unwrap().0,
+        came = rig.servers[1].accept() => came.unwrap().0,
+    };
+    let mut server = BufReader::new(stream);
+    let mut line = String::new();
+    server.read_line(&mut line).await.unwrap();
+    assert!(line.contains("START"), "{line}");
+    let _open = open.leave();
+    let answer = r#"{"verb":"STARTED","tag":"0000000000000001","opts":{},"blob":"v=0"}"#;
+    server.write_all(format!("{answer}\n").as_bytes()).await.unwrap();
+    rig.until(|mail| matches!(mail, Mail::Line(..))).await;
+    assert_eq!((rig.desk.standing.open(), rig.desk.core.held()), (0, 0), "nobody has it");
+    line.clear();
+    tokio::time::timeout(LONG, server.read_line(&mut line)).await.expect("it is told").unwrap();
+    assert!(line.contains("FINISH"), "{line}");
+}
+
+/// A place is wanted in the step in which a set-up has come on the connection that was idle so far: another goes.
+#[tokio::test]
+async fn a_set_up_that_has_come_keeps_its_connection() {
+    let mut rig = Rig::new(BOUNDS).await;
+    let (first, second) = (rig.open(1).await, rig.open(2).await);
+    first.viewer.put(setup(1));
+    let mut third = rig.open(3).await;
+    rig.desk.step();
+    assert!(rig.desk.conns.contains_key(&ConnId(1)) && !rig.desk.conns.contains_key(&ConnId(2)));
+    assert_eq!(rig.desk.standing.open(), 1);
+    assert!(third.written.try_recv().is_err());
+    drop((first, second));
+}
--- a/crates/node/src/desk/viewers.rs
+++ b/crates/node/src/desk/viewers.rs
@@ -1,10 +1,13 @@
 //! Viewers: connections, messages, set-ups, sessions handed over.
 
 use super::*;
+use std::collections::VecDeque;
 
 impl Desk {
-    pub(super) fn opened(&mut self, conn: ConnId, hold: Hold) {
+    pub(super) fn opened(&mut self, conn: ConnId, hold: ViewerHold) {
         if self.conns.len() >= self.bounds.conns {
+            // What came meanwhile tells which are idle.
+            self.hear();
             match self.standing.spare(self.clock.now()) {
                 Some(spare) => self.closed(spare),
                 None => return, // each has a set-up open: dropping the hold turns the new one away
@@ -12,6 +15,72 @@
         }
         self.conns.insert(conn, hold);
         self.standing.opened(conn, self.clock.now());
+        self.take_in(conn);
+    }
+
+    /// Takes all that has come from viewers by now. A step begins with it: nothing is decided for one who has left.
+    pub(super) fn hear(&mut self) {
+        for _ in 0..self.rung.len() {
+            let Ok(conn) = self.rung.try_recv() else { return };
+            self.take_in(conn);
+        }
+    }
+
+    /// Takes what has come on a connection.
+    pub(super) fn take_in(&mut self, conn: ConnId) {
+        // One that is not known yet is taken in when it is.
+        let Some(hold) = self.conns.get(&conn) else { return };
+        let (mut came, ended) = hold.viewer.take();
+        while let Some(next) = came.pop_front().filter(|_| !self.standing.is_closing(conn)) {
+            let refused = match next {
+                Came::Message(message) => self.message(conn, message).map_err(|to| (400, to)),
+                Came::Unreadable(status, to) => Err((status, to)),
+            };
+            if let Err((status, to)) = refused {
+                self.write(conn, viewer::error(status, &to));
+                self.turn_away(conn, came);
+                self.close_conn(conn);
+                break;
+            }
+        }
+        if ended {
+            self.closed(conn);
+        }
+    }
+
+    /// The set-ups that came whole behind what can't be used get their refusal: nothing more is begun for them.
+    fn turn_away(&mut self, conn: ConnId, came: VecDeque<Came>) {
+        for came in came {
+            let Came::Message(message) = came else { return };
+            if let Ok(Wish::Setup(setup)) = viewer::read(message, &self.site) {
+                if setup.at.is_none() && !self.standing.knows(&setup.sid) {
+                    self.write(conn, viewer::refusal(&setup.sid, self.site.settings.limits.hold_off));
+                }
+            }
+        }
+    }
+
+    /// Who waits for that set-up, for its gate.
+    pub(super) fn waits(&self, sid: &Sid) -> Option<Waits> {
+        let hold = self.conns.get(&self.standing.asked_on(sid)?)?;
+        Some(Waits { viewer: hold.viewer.clone(), sid: sid.clone() })
+    }
+
+    /// A set-up was not sent: its viewer may have left.
+    pub(super) fn left(&mut self, link: LinkId) {
+        self.hear();
+        if let Some(sid) = self.links.open_on(link).cloned() {
+            self.look_for(&sid);
+        }
+    }
+
+    /// Looks whether the viewer of a set-up has closed its connection unheard of, its close hidden behind what was not
+    /// read yet.
+    pub(super) fn look_for(&mut self, sid: &Sid) {
+        let Some(conn) = self.standing.asked_on(sid) else { return };
+        if self.conns.get(&conn).is_some_and(|hold| hold.viewer.has_closed()) {
+            self.closed(conn);
+        }
     }
 
     pub(super) fn closed(&mut self, conn: ConnId) {
@@ -21,16 +90,15 @@
         }
     }
 
-    pub(super) fn write(&mut self, conn: ConnId, bytes: Bytes) {
-        if self.conns.get(&conn).is_some_and(|hold| !hold.write(bytes)) {
+    /// Queues bytes for a viewer; `false`: they never reach it.
+    pub(super) fn write(&mut self, conn: ConnId, bytes: Bytes) -> bool {
+        let Some(hold) = self.conns.get(&conn) else { return false };
+        let queued = hold.write(bytes);
+        if !queued {
             tracing::info!(conn = conn.0, "a viewer reads too slowly");
             self.closed(conn);
         }
-    }
-
-    pub(super) fn unreadable(&mut self, conn: ConnId, status: u16, to: &Addressee) {
-        self.write(conn, viewer::error(status, to));
-        self.close_conn(conn);
+        queued
     }
 
     /// Closes a connection whose stream can't be trusted. What is open on it fails: nobody can tell any more whose
@@ -46,19 +114,26 @@
     }
 
     pub(super) fn release(&mut self, release: Release) {
-        let Release { conn, sid, cause } = release;
-        tracing::debug!(session = %sid, conn = conn.0, cause, "released");
-        self.write(conn, viewer::release(&sid, cause));
+        let mut next = Some(release);
+        // One that can't be written any more ends there; each time that costs a connection.
+        while let Some(Release { conn, sid, cause }) = next {
+            tracing::debug!(session = %sid, conn = conn.0, cause, "released");
+            if self.write(conn, viewer::release(&sid, cause)) {
+                return;
+            }
+            next = self.standing.place(&sid, cause);
+        }
     }
 
-    pub(super) fn message(&mut self, conn: ConnId, message: Message) {
-        if !self.conns.contains_key(&conn) {
-            return;
-        }
+    /// Does what a message asks for.
+    ///
+    /// # Errors
+    /// It can't be used: whom that is told.
+    pub(super) fn message(&mut self, conn: ConnId, message: Message) -> Result<(), Addressee> {
         self.standing.spoke(conn);
         tracing::debug!(conn = conn.0, ?message, "asked");
         match viewer::read(message, &self.site) {
-            Ok(Wish::Setup(setup)) => self.setup(conn, *setup),
+            Ok(Wish::Setup(setup)) => return self.setup(conn, *setup),
             Ok(Wish::Teardown { sid, cseq }) => {
                 self.write(conn, viewer::heard(&cseq, Some(&sid)));
                 match self.standing.left(&sid) {
@@ -77,9 +152,10 @@
             Ok(Wish::Nothing) => {}
             Err(unusable) => {
                 tracing::debug!(conn = conn.0, error = %unusable, "a message that can't be used");
-                self.unreadable(conn, 400, &unusable.to);
+                return Err(unusable.to);
             }
         }
+        Ok(())
     }
 
     pub(super) fn usual(&mut self, conn: ConnId) {
@@ -88,32 +164,34 @@
         }
     }
 
-    pub(super) fn setup(&mut self, conn: ConnId, setup: viewer::Setup) {
+    fn setup(&mut self, conn: ConnId, setup: viewer::Setup) -> Result<(), Addressee> {
         let viewer::Setup { sid, at, mut arrival } = setup;
+        let to = || Addressee { cseq: Some("1".into()), session: Some(sid.to_string()) };
         if let Some(name) = at {
             if self.clock.now() > self.handed_over {
                 // Later than right after the start nobody hands sessions over: it would be one of no server.
-                let to = Addressee { cseq: Some("1".into()), session: Some(sid.to_string()) };
-                return self.unreadable(conn, 400, &to);
+                return Err(to());
             }
             self.adopt(conn, &sid, &name, arrival);
-            return self.usual(conn);
+            self.usual(conn);
+            return Ok(());
         }
         if self.standing.knows(&sid) {
-            // It is open or stands already: the request that has it stays untouched.
-            let to = Addressee { cseq: Some("1".into()), session: Some(sid.to_string()) };
-            return self.unreadable(conn, 400, &to);
+            // It is open or stands already: on another connection the request that has it stays untouched.
+            return Err(to());
         }
         let full = self.standing.open() >= self.bounds.open
             || self.standing.open_on(conn) >= self.bounds.open_on_one;
         if full {
             let refusal = viewer::refusal(&sid, self.site.settings.limits.hold_off);
-            return self.write(conn, refusal);
+            self.write(conn, refusal);
+            return Ok(());
         }
         self.next_viewer += 1;
         arrival.viewer = ViewerId(self.next_viewer);
         self.standing.ask(&sid, conn, arrival.viewer);
         self.inputs.push(Input::Arrived(arrival));
+        Ok(())
     }
 
     pub(super) fn adopt(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,5 +12,6 @@
 mod listen;
 mod mail;
 mod process;
+mod viewer;
 
 pub use process::{run, NodeError};
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -59,7 +59,7 @@
     }
     if let Some(first) = first {
         match first.pass() {
-            Passed::Late => {
+            Passed::Moot => {
                 let _ = mail.send(Mail::Unsent(id)).await;
             }
             Passed::Recalled => {}
@@ -81,7 +81,7 @@
                     return Down::Broke;
                 }
                 let gathered = gather(order, &mut orders, &mut out);
-                if gathered.late && mail.send(Mail::Unsent(id)).await.is_err() {
+                if gathered.moot && mail.send(Mail::Unsent(id)).await.is_err() {
                     return Down::Own;
                 }
                 if gathered.close {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -3,6 +3,7 @@
 
 use crate::link::{self, Way};
 use crate::mail::{First, Hold, Mail};
+use crate::viewer::Waits;
 use bytes::Bytes;
 use cloverhollow::ServerId;
 use cloverhollow_net::{Clock, Gate};
@@ -42,6 +43,8 @@
     pub(crate) line: Bytes,
     /// If its first byte has not gone out by then, it never does.
     pub(crate) until: Duration,
+    /// Who waits for it.
+    pub(crate) waits: Option<Waits>,
 }
 
 /// What came on a connection, as far as the connection tells.
@@ -81,9 +84,9 @@
 
     /// Sends a set-up, on a connection that is there and may carry it, else on a new one.
     pub(crate) fn send(&mut self, out: Outgoing) {
-        let Outgoing { attempt, server, address, sid, paid, line, until } = out;
+        let Outgoing { attempt, server, address, sid, paid, line, until, waits } = out;
         let gate = Arc::new(Gate::default());
-        let mut first = First { line, gate: gate.clone(), until, clock: self.clock };
+        let mut first = First { line, gate: gate.clone(), until, clock: self.clock, waits };
         let used = self.watch.take(self.clock.now(), server, paid);
         if let Some((id, link)) = used.and_then(|id| Some((id, self.links.get_mut(&id)?))) {
             match link.hold.setup(first) {
@@ -166,6 +169,11 @@
         Some(attempt)
     }
 
+    /// The set-up that is open on it.
+    pub(crate) fn open_on(&self, id: LinkId) -> Option<&Sid> {
+        self.links.get(&id)?.attempt.as_ref().map(|(_, sid)| sid)
+    }
+
     /// The set-up on it was not sent, and never will be on it: it was decided too long ago.
     pub(crate) fn unsent(&mut self, id: LinkId) -> Ended {
         Some((self.done(id)?, AttemptEnd::NeverSent))
@@ -275,7 +283,16 @@
             let line = Line::new(cloverhollow_platform::lines::Verb::Start, &sid).encode();
             let until = self.links.clock.now() + Duration::from_secs(60);
             let (attempt, address) = (attempt(self.sent), self.listener.local_addr().unwrap());
-            self.links.send(Outgoing { attempt, server: S, address, sid, paid: true, line, until });
+            self.links.send(Outgoing {
+                attempt,
+                server: S,
+                address,
+                sid,
+                paid: true,
+                line,
+                until,
+                waits: None,
+            });
         }
 
         /// A connection over which a first set-up went and was answered.
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -1,11 +1,11 @@
 //! What the desk is told.
 
+use crate::viewer::{ViewerHold, Waits};
 use bytes::Bytes;
 use cloverhollow_net::{Clock, Gate};
 use cloverhollow_platform::channel::Told;
 use cloverhollow_platform::config::Config;
 use cloverhollow_platform::lines::Line;
-use cloverhollow_platform::rtsp::{Addressee, Message};
 use cloverhollow_platform::standing::ConnId;
 use cloverhollow_platform::watch::{Down, LinkId};
 use std::sync::Arc;
@@ -16,7 +16,7 @@
 /// Most mails that wait for the desk, 16 KiB each at most; a sender past them waits, and with it its socket.
 pub(crate) const MOST_MAILS: usize = 512;
 
-/// What a connection's task is to do.
+/// What the task of a connection to a video server is to do.
 #[derive(Debug)]
 pub(crate) enum Order {
     /// Write this.
@@ -36,6 +36,8 @@
     /// If it has not gone out by then, it never does.
     pub(crate) until: Duration,
     pub(crate) clock: Clock,
+    /// If nobody waits any more, it never does.
+    pub(crate) waits: Option<Waits>,
 }
 
 /// Whether a set-up goes out.
@@ -45,15 +47,15 @@
     Goes,
     /// It was recalled, and the desk knows.
     Recalled,
-    /// It was decided too long ago; the desk is to be told.
-    Late,
+    /// It was decided too long ago, or its viewer has left; the desk is to be told.
+    Moot,
 }
 
 impl First {
     /// Passes the gate.
     pub(crate) fn pass(&self) -> Passed {
-        if self.clock.now() > self.until {
-            Passed::Late
+        if self.clock.now() > self.until || self.waits.as_ref().is_some_and(Waits::has_left) {
+            Passed::Moot
         } else if self.gate.send() {
             Passed::Goes
         } else {
@@ -67,8 +69,8 @@
 pub(crate) struct Gathered {
     /// A close comes behind them.
     pub(crate) close: bool,
-    /// A set-up among them came too late to be written.
-    pub(crate) late: bool,
+    /// A set-up among them was moot: it was not written.
+    pub(crate) moot: bool,
 }
 
 /// Gathers what is queued, beginning with `first`, into `out`, whose old bytes go.
@@ -85,7 +87,7 @@
             Some(Order::Setup(setup)) => match setup.pass() {
                 Passed::Goes => out.extend_from_slice(&setup.line),
                 Passed::Recalled => {}
-                Passed::Late => gathered.late = true,
+                Passed::Moot => gathered.moot = true,
             },
             Some(Order::Close) | None => return Gathered { close: true, ..gathered },
         }
@@ -96,7 +98,7 @@
     }
 }
 
-/// The desk's hold on a connection. Dropping it closes the connection at once.
+/// The desk's hold on a connection to a video server. Dropping it closes the connection at once.
 #[derive(Debug)]
 pub(crate) struct Hold {
     pub(crate) orders: mpsc::Sender<Order>,
@@ -136,16 +138,10 @@
 #[derive(Debug)]
 pub(crate) enum Mail {
     /// A viewer's connection came up.
-    Opened(ConnId, Hold),
-    /// A whole message of a viewer.
-    Viewer(ConnId, Message),
-    /// What came of a viewer can't be read any further: it is owed an error with this status, and a close.
-    Unreadable(ConnId, u16, Addressee),
-    /// A viewer's connection is gone.
-    Closed(ConnId),
+    Opened(ConnId, ViewerHold),
     /// A connection to a video server came up, and its first line, if there is one, goes out.
     Up(LinkId),
-    /// The set-up was not sent, and never will be on it: it was decided too long ago.
+    /// The set-up was not sent, and never will be on it: it was decided too long ago, or its viewer has left.
     Unsent(LinkId),
     /// A line of a video server.
     Line(LinkId, Line),
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,10 +1,11 @@
 //! A session manager as a process: its configuration, its sockets, its signals.
 
 use crate::channel::{self, From};
-use crate::desk::{Bounds, Desk};
+use crate::desk::{Bounds, Desk, Post};
 use crate::gossip::GossipSocket;
 use crate::listen;
 use crate::mail::{Mail, MOST_MAILS};
+use crate::viewer::Bell;
 use cloverhollow::Brain;
 use cloverhollow_net::{unix_ms, Clock};
 use cloverhollow_platform::config::{self, Config, ConfigError};
@@ -15,7 +16,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::time::timeout;
 
 /// Why a session manager did not start.
 #[derive(Debug, thiserror::Error)]
@@ -56,6 +58,9 @@
 /// And that time at the least.
 const LONGEST: Duration = Duration::from_secs(3);
 
+/// Longest that the process waits at its end for what is queued for viewers to be written.
+const LAST: Duration = Duration::from_secs(1);
+
 /// Runs a session manager until SIGTERM or SIGINT, and what it then still owes is done.
 ///
 /// # Errors
@@ -71,6 +76,8 @@
     // For whoever started it with port 0, as tests do.
     println!("{{\"address\":\"{address}\"}}");
     let (mail, mails) = mpsc::channel(MOST_MAILS);
+    // Each connection of viewers has one place at the most, until the desk takes it.
+    let (bell, rung) = mpsc::channel(config.room.sockets + 2 * MOST_MAILS);
     let (from, heard) = watch::channel(From { address: config.channel, cursor: 0, anew: 0 });
     let Config { site, seed, room, known, name, peer_listen, peers, .. } = config;
     let clock = Clock::start();
@@ -83,7 +90,8 @@
     // A server where sessions stand sends a link note on one of them each `told_every`.
     let watch = Watch::new(settings.told_every, site.idle_close, room.sockets / 8);
     let bounds = Bounds { conns: room.sockets / 2, open: room.sockets / 4, open_on_one: room.sockets / 8 };
-    let mut desk = Desk::new(core, clock, Arc::new(site), watch, bounds, from, mail.clone());
+    let mut desk =
+        Desk::new(core, clock, Arc::new(site), watch, bounds, from, Post { mail: mail.clone(), rung });
     if let Some(listen) = peer_listen {
         desk.gossip = GossipSocket::open(listen, &peers, seed, mail.clone()).await;
     }
@@ -93,9 +101,14 @@
     }
     tracing::info!(name, sockets = room.sockets, "session manager starts");
     tokio::spawn(channel::run(heard, mail.clone()));
-    tokio::spawn(listen::accept(listener, mail.clone()));
+    // Those that the desk has let go of still write what is queued.
+    let most = bounds.conns + room.sockets / 16;
+    let places = Arc::new(Semaphore::new(most));
+    tokio::spawn(listen::accept(listener, places.clone(), mail.clone(), Bell::new(bell)));
     tokio::spawn(signals(term, int, hup, file, mail));
     desk.run(mails, longest + GRACE).await;
+    // The last answers are queued by now: their connections' tasks write them. One place is the next connection's.
+    let _ = timeout(LAST, places.acquire_many(most as u32 - 1)).await;
     tracing::info!(name, "session manager ends");
     Ok(())
 }
--- a/crates/platform/src/standing.rs
+++ b/crates/platform/src/standing.rs
@@ -156,6 +156,16 @@
             .or_else(|| first(&|c| c.open.is_empty()))
     }
 
+    /// Whether a connection is being closed.
+    pub fn is_closing(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_none_or(|c| c.closing)
+    }
+
+    /// The connection of a set-up whose answer is owed.
+    pub fn asked_on(&self, sid: &str) -> Option<ConnId> {
+        self.sessions.get(sid).filter(|s| matches!(s.state, State::Asked(_))).map(|s| s.conn)
+    }
+
     /// Whether that id is in use.
     pub fn knows(&self, sid: &str) -> bool {
         self.sessions.contains_key(sid)
@@ -278,10 +288,18 @@
         }
         let cause = s.cause?;
         let own = Some(s.conn).filter(|c| self.conns.get(c).is_some_and(|c| !c.closing));
+        match own {
+            Some(conn) => Some(Release { conn, sid: sid.clone(), cause }),
+            None => self.place(sid, cause),
+        }
+    }
+
+    /// Where a release goes that can't go on its own connection; it waits if there is none.
+    pub fn place(&mut self, sid: &Sid, cause: i64) -> Option<Release> {
         let usual = || self.conns.iter().rev().filter(|(_, c)| c.usual && !c.closing);
         // One without a session may be closed by its viewer in the same instant.
         let any = || usual().find(|(_, c)| c.standing > 0).or_else(|| usual().next()).map(|(id, _)| *id);
-        match own.or_else(any) {
+        match any() {
             Some(conn) => Some(Release { conn, sid: sid.clone(), cause }),
             None => {
                 self.owed.push_back((sid.clone(), cause));
