--- /dev/null
+++ b/crates/node/src/desk/commands.rs
@@ -0,0 +1,55 @@
+//! What the session core wants done.
+
+use super::*;
+
+impl Desk {
+    pub(super) fn carry_out(&mut self, command: Command<Ask, String>) {
+        match command {
+            Command::Send(setup) => self.send(setup),
+            Command::Recall { attempt, why } => self.recall(attempt, why),
+            Command::Answer { viewer, answer } => {
+                let now = self.clock.now();
+                let stands = match &answer {
+                    Answer::Stream { route, .. } => Some((route.server, now)),
+                    _ => None,
+                };
+                if let Answer::Stream { route, .. } = &answer {
+                    self.look_for(&route.sid);
+                }
+                let Some((conn, sid)) = self.standing.answered(viewer, stands) else {
+                    // Its viewer went in this instant: nobody takes what the server has begun.
+                    if let Answer::Stream { route, .. } = answer {
+                        self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
+                    }
+                    return;
+                };
+                if let Some((server, _)) = stands {
+                    self.links.stands(server);
+                }
+                tracing::debug!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
+                let text = viewer::answer(&sid, &answer, |description| description.clone().into());
+                self.write(conn, text);
+                match answer {
+                    Answer::Stream { .. } => self.usual(conn),
+                    // It came under the id of one whose viewer went as it began to play: nobody follows here.
+                    Answer::Follow(route) => {
+                        self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
+                    }
+                    Answer::Refused { .. } | Answer::Failed { .. } => {}
+                }
+            }
+            Command::Release { server, sid, .. } => {
+                if self.standing.is_held(&sid) {
+                    self.links.tell(server, Line::finish(&sid, cause::CANCELLED));
+                }
+            }
+            Command::Over { sid, server, .. } => self.over(&sid, server),
+            Command::Rung { server, sid, rung } => {
+                let line = Line::new(Verb::Rate, &sid).with("rung", rung);
+                self.links.tell(server, line);
+            }
+            // No disk survives this process, and it asks no peers.
+            Command::Keep(_) | Command::Merged { .. } => {}
+        }
+    }
+}
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -3,6 +3,7 @@
 //! What has come in by one instant goes into one step. The desk never waits for a socket: it takes mails, steps,
 //! and queues bytes for the tasks that own the sockets; a queue that is full costs its connection.
 
+mod commands;
 mod end;
 mod news;
 mod servers;
@@ -11,7 +12,8 @@
 use crate::channel::From;
 use crate::gossip::GossipSocket;
 use crate::links::{Ended, Heard, Links, Outgoing};
-use crate::mail::{Hold, Mail};
+use crate::mail::Mail;
+use crate::viewer::{Came, ViewerHold, Waits};
 use bytes::Bytes;
 use cloverhollow::{Brain, ServerId};
 use cloverhollow_net::{unix_ms, Clock};
@@ -54,6 +56,14 @@
     pub(crate) open_on_one: usize,
 }
 
+/// What the desk is told by.
+pub(crate) struct Post {
+    /// For the tasks of connections to video servers.
+    pub(crate) mail: mpsc::Sender<Mail>,
+    /// Connections of viewers on which something has come.
+    pub(crate) rung: mpsc::Receiver<ConnId>,
+}
+
 pub(crate) struct Desk {
     pub(crate) core: NodeCore,
     pub(crate) clock: Clock,
@@ -63,7 +73,9 @@
     links: Links,
     pub(crate) bounds: Bounds,
     pub(crate) from: watch::Sender<From>,
-    conns: HashMap<ConnId, Hold>,
+    conns: HashMap<ConnId, ViewerHold>,
+    /// Connections of viewers on which something has come.
+    rung: mpsc::Receiver<ConnId>,
     next_viewer: u64,
     inputs: Vec<In>,
     terminating: Option<Duration>,
@@ -82,8 +94,9 @@
         watch: Watch,
         bounds: Bounds,
         from: watch::Sender<From>,
-        mail: mpsc::Sender<Mail>,
+        post: Post,
     ) -> Self {
+        let Post { mail, rung } = post;
         let links = Links::new(watch, clock, site.connect_timeout, mail);
         Desk {
             core,
@@ -95,6 +108,7 @@
             bounds,
             from,
             conns: HashMap::new(),
+            rung,
             next_viewer: 0,
             inputs: Vec::new(),
             terminating: None,
@@ -104,7 +118,8 @@
         }
     }
 
-    /// Runs until the process is to end and owes nothing more, `grace` after it was told.
+    /// Runs until the process is to end and owes nothing more, `grace` after it was told. What is queued for viewers
+    /// then is still written by their connections' tasks.
     pub(crate) async fn run(mut self, mut mails: mpsc::Receiver<Mail>, grace: Duration) {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
@@ -113,6 +128,7 @@
             let due = self.core.next_due().map_or(look, |d| d.min(look));
             tokio::select! {
                 n = mails.recv_many(&mut batch, BATCH) => if n == 0 { return },
+                Some(conn) = self.rung.recv() => self.take_from(conn),
                 () = tokio::time::sleep_until(self.clock.instant(due.max(now))) => {}
             }
             for mail in batch.drain(..) {
@@ -123,27 +139,28 @@
                 self.looked = now;
                 self.look();
             }
-            let wrote = self.take_in();
+            let wrote = self.take_inputs();
             if wrote {
                 // The tasks of the connections write the answers now: none waits for what is decided next.
                 tokio::task::yield_now().await;
             }
             self.decide();
             let over = self.terminating.is_some_and(|t| now >= t + grace);
-            if over && self.standing.open() == 0 && mails.is_empty() {
-                return self.end(mails).await;
+            if over && self.standing.open() == 0 && mails.is_empty() && self.rung.is_empty() {
+                return self.end().await;
             }
         }
     }
 
     /// Steps until what is answered at once (recalls) is used up.
     fn step(&mut self) {
-        self.take_in();
+        self.take_inputs();
         self.decide();
     }
 
     /// The first half of a step; whether answers of servers were queued for viewers.
-    fn take_in(&mut self) -> bool {
+    fn take_inputs(&mut self) -> bool {
+        self.hear();
         let inputs = std::mem::take(&mut self.inputs);
         let commands = self.core.take_in(self.clock.now(), inputs);
         let stream =
@@ -164,18 +181,17 @@
             if self.inputs.is_empty() {
                 return;
             }
-            self.take_in();
+            self.take_inputs();
         }
     }
 
     fn take(&mut self, mail: Mail) {
         match mail {
             Mail::Opened(conn, hold) => self.opened(conn, hold),
-            Mail::Viewer(conn, message) => self.message(conn, message),
-            Mail::Unreadable(conn, status, to) => self.unreadable(conn, status, &to),
-            Mail::Closed(conn) => self.closed(conn),
             Mail::Up(link) => self.links.up(link),
             Mail::Unsent(link, attempt) => {
+                // Who has left first, else the core would try again.
+                self.left(link, attempt);
                 let ended = self.links.unsent(link, attempt);
                 self.ended(ended, Load::default());
             }
@@ -187,55 +203,11 @@
             Mail::Terminate => self.terminating = self.terminating.or(Some(self.clock.now())),
         }
     }
-
-    fn carry_out(&mut self, command: Command<Ask, String>) {
-        match command {
-            Command::Send(setup) => self.send(setup),
-            Command::Recall { attempt, why } => self.recall(attempt, why),
-            Command::Answer { viewer, answer } => {
-                let now = self.clock.now();
-                let stands = match &answer {
-                    Answer::Stream { route, .. } => Some((route.server, now)),
-                    _ => None,
-                };
-                let Some((conn, sid)) = self.standing.answered(viewer, stands) else {
-                    // Its viewer went in this instant: nobody takes what the server has begun.
-                    if let Answer::Stream { route, .. } = answer {
-                        self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
-                    }
-                    return;
-                };
-                if let Some((server, _)) = stands {
-                    self.links.stands(server);
-                }
-                tracing::debug!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
-                let text = viewer::answer(&sid, &answer, |description| description.clone().into());
-                self.write(conn, text);
-                match answer {
-                    Answer::Stream { .. } => self.usual(conn),
-                    // It came under the id of one whose viewer went as it began to play: nobody follows here.
-                    Answer::Follow(route) => {
-                        self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
-                    }
-                    Answer::Refused { .. } | Answer::Failed { .. } => {}
-                }
-            }
-            Command::Release { server, sid, .. } => {
-                if self.standing.is_held(&sid) {
-                    self.links.tell(server, Line::finish(&sid, cause::CANCELLED));
-                }
-            }
-            Command::Over { sid, server, .. } => self.over(&sid, server),
-            Command::Rung { server, sid, rung } => {
-                let line = Line::new(Verb::Rate, &sid).with("rung", rung);
-                self.links.tell(server, line);
-            }
-            // No disk survives this process, and it asks no peers.
-            Command::Keep(_) | Command::Merged { .. } => {}
-        }
-    }
 }
 
 fn over(sid: Sid, why: OverWhy, load: Load) -> In {
     Input::Over { sid, why, load }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/desk/news/tests.rs
+++ b/crates/node/src/desk/news/tests.rs
@@ -35,8 +35,9 @@
         let core = Core::new(Brain::new(site.settings.clone(), 7), site.terms(), 7);
         let watch = Watch::new(site.settings.told_every, site.idle_close, 8);
         let bounds = Bounds { conns: 8, open: 8, open_on_one: 8 };
+        let post = Post { mail, rung: mpsc::channel(8).1 };
         let (from, _) = watch::channel(From { address, cursor: 0, useless: 0 });
-        let desk = Desk::new(core, Clock::start(), Arc::new(site), watch, bounds, from, mail);
+        let desk = Desk::new(core, Clock::start(), Arc::new(site), watch, bounds, from, post);
         let mut rig = Rig { desk, mails, listener };
         rig.told(1, "in_service", START);
         rig
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -80,7 +80,7 @@
     let mut out = Cursor::new(Vec::new());
     if let Some(first) = first {
         match first.pass() {
-            Passed::Late => {
+            Passed::Moot => {
                 let _ = mail.send(Mail::Unsent(id, first.attempt)).await;
             }
             Passed::Recalled => {}
@@ -136,8 +136,8 @@
                     return End::Broke;
                 }
                 out.set_position(0);
-                let Gathered { close, late } = gather(order, orders, out.get_mut());
-                for attempt in late {
+                let Gathered { close, moot } = gather(order, orders, out.get_mut());
+                for attempt in moot {
                     if mail.send(Mail::Unsent(id, attempt)).await.is_err() {
                         return End::DeskGone;
                     }
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::link::{self, Way};
 use crate::mail::{First, Hold, Mail};
+use crate::viewer::Waits;
 use bytes::Bytes;
 use cloverhollow::ServerId;
 use cloverhollow_net::{Clock, Gate};
@@ -49,6 +50,8 @@
     pub(crate) line: Bytes,
     /// If its first byte has not gone out by then, it never does.
     pub(crate) until: Duration,
+    /// Who waits for it.
+    pub(crate) waits: Option<Waits>,
 }
 
 /// What came on a connection, as far as the connection tells.
@@ -90,9 +93,9 @@
 
     /// Sends a set-up, on a connection that is there and may carry it, else on a new one.
     pub(crate) fn send(&mut self, out: Outgoing) {
-        let Outgoing { attempt, server, address, sid, paid, line, until } = out;
+        let Outgoing { attempt, server, address, sid, paid, line, until, waits } = out;
         let gate = Arc::new(Gate::default());
-        let mut first = First { attempt, line, gate: gate.clone(), until, clock: self.clock };
+        let mut first = First { attempt, line, gate: gate.clone(), until, clock: self.clock, waits };
         let used = self.watch.take(self.clock.now(), server, paid);
         if let Some((id, link)) = used.and_then(|id| Some((id, self.links.get_mut(&id)?))) {
             if link.last.as_ref() != Some(&sid) {
@@ -167,6 +170,12 @@
         }
     }
 
+    /// The session of that set-up, if it is open on that connection.
+    pub(crate) fn open_on(&self, id: LinkId, attempt: AttemptId) -> Option<&Sid> {
+        let (open, sid) = self.links.get(&id)?.attempt.as_ref()?;
+        (*open == attempt).then_some(sid)
+    }
+
     /// Whether a set-up of that session is open at that server.
     pub(crate) fn out_to(&self, server: ServerId, sid: &str) -> bool {
         let open = |l: &Link| l.server == server && l.attempt.as_ref().is_some_and(|(_, s)| **s == *sid);
--- a/crates/node/src/links/tests/mod.rs
+++ b/crates/node/src/links/tests/mod.rs
@@ -38,7 +38,7 @@
         let line = Line::new(Verb::Start, &sid).encode();
         let until = self.links.clock.now() + within;
         let (attempt, address) = (attempt(self.sent), self.listener.local_addr().unwrap());
-        self.links.send(Outgoing { attempt, server: S, address, sid, paid: true, line, until });
+        self.links.send(Outgoing { attempt, server: S, address, sid, paid: true, line, until, waits: None });
     }
 
     /// A connection over which a first set-up went and was answered.
@@ -149,7 +149,7 @@
     let line = Line::new(Verb::Start, &sid).encode();
     let until = rig.links.clock.now() + LONG;
     let address = rig.listener.local_addr().unwrap();
-    rig.links.send(Outgoing { attempt, server: S, address, sid, paid: true, line, until });
+    rig.links.send(Outgoing { attempt, server: S, address, sid, paid: true, line, until, waits: None });
     let accepted = tokio::time::timeout(LONG, rig.listener.accept()).await;
     let (stream, _) = accepted.expect("it goes on a connection of its own").unwrap();
     assert!(read(&mut BufReader::new(stream)).await.contains("START"));
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -1,11 +1,11 @@
 //! What the desk is told.
 
+use crate::viewer::{ViewerHold, Waits};
 use bytes::Bytes;
 use cloverhollow_net::{Clock, Gate};
 use cloverhollow_platform::channel::Told;
 use cloverhollow_platform::config::Config;
 use cloverhollow_platform::lines::Line;
-use cloverhollow_platform::rtsp::{Addressee, Message};
 use cloverhollow_platform::standing::ConnId;
 use cloverhollow_platform::watch::{Down, LinkId};
 use cloverhollow_session::AttemptId;
@@ -20,7 +20,7 @@
 /// Places of a connection's queue that are kept for its last bytes and its close.
 const KEPT: usize = 2;
 
-/// What a connection's task is to do.
+/// What the task of a connection to a video server is to do.
 #[derive(Debug)]
 pub(crate) enum Order {
     /// Write this.
@@ -41,6 +41,8 @@
     /// If it has not gone out by then, it never does.
     pub(crate) until: Duration,
     pub(crate) clock: Clock,
+    /// If nobody waits any more, it never does.
+    pub(crate) waits: Option<Waits>,
 }
 
 /// Whether a set-up goes out.
@@ -50,15 +52,15 @@
     Goes,
     /// It was recalled, and the desk knows.
     Recalled,
-    /// It was decided too long ago; the desk is to be told.
-    Late,
+    /// It was decided too long ago, or its viewer has left; the desk is to be told.
+    Moot,
 }
 
 impl First {
     /// Passes the gate.
     pub(crate) fn pass(&self) -> Passed {
-        if self.clock.now() > self.until {
-            Passed::Late
+        if self.clock.now() > self.until || self.waits.as_ref().is_some_and(Waits::has_left) {
+            Passed::Moot
         } else if self.gate.send() {
             Passed::Goes
         } else {
@@ -72,8 +74,8 @@
 pub(crate) struct Gathered {
     /// A close comes behind them.
     pub(crate) close: bool,
-    /// Set-ups among them that came too late to be written.
-    pub(crate) late: Vec<AttemptId>,
+    /// Set-ups among them that were moot: they were not written.
+    pub(crate) moot: Vec<AttemptId>,
 }
 
 /// Gathers what is queued, beginning with `first`, into `out`, whose old bytes go.
@@ -90,7 +92,7 @@
             Some(Order::Setup(setup)) => match setup.pass() {
                 Passed::Goes => out.extend_from_slice(&setup.line),
                 Passed::Recalled => {}
-                Passed::Late => gathered.late.push(setup.attempt),
+                Passed::Moot => gathered.moot.push(setup.attempt),
             },
             Some(Order::Close) | None => return Gathered { close: true, ..gathered },
         }
@@ -101,7 +103,7 @@
     }
 }
 
-/// The desk's hold on a connection. Dropping it closes the connection at once.
+/// The desk's hold on a connection to a video server. Dropping it closes the connection at once.
 #[derive(Debug)]
 pub(crate) struct Hold {
     pub(crate) orders: mpsc::Sender<Order>,
@@ -151,16 +153,10 @@
 #[derive(Debug)]
 pub(crate) enum Mail {
     /// A viewer's connection came up.
-    Opened(ConnId, Hold),
-    /// A whole message of a viewer.
-    Viewer(ConnId, Message),
-    /// What came of a viewer can't be read any further: it is owed an error with this status, and a close.
-    Unreadable(ConnId, u16, Addressee),
-    /// A viewer's connection is gone.
-    Closed(ConnId),
+    Opened(ConnId, ViewerHold),
     /// A connection to a video server came up, and its first line, if there is one, goes out.
     Up(LinkId),
-    /// That set-up was not sent, and never will be on it: it was decided too long ago.
+    /// That set-up was not sent, and never will be on it: it was decided too long ago, or its viewer has left.
     Unsent(LinkId, AttemptId),
     /// A line of a video server.
     Line(LinkId, Line),
