Crossings in the viewers' tests are held until both sides have arrived

Two causes in the test, none in the program. SIGSTOP was taken for done when it was sent: the process could go on for a moment. And a close was taken for arrived when it was made: the answer could be read and written before the close had come to the other end of the connection, in which case the session stands and nobody has to be told.

Now a test waits until the process stands (`/proc/PID/stat`) and until what the client did is at the other end (`/proc/net/tcp`: closed, gone, or bytes that wait). Nothing else of the tests changed; they stay as strict. The stand-in and these waits are in `platform/wire.rs`, for both files.

--- a/crates/cli/tests/node_room.rs
+++ b/crates/cli/tests/node_room.rs
@@ -1,12 +1,16 @@
 //! Room: descriptors of `cloverhollow node`, filled on purpose, with the system's own limit at what it is told it has.
 
 mod platform;
+#[path = "platform/wire.rs"]
+mod wire;
 
 use platform::{
     config, descriptors, endpoint, event, head, setup, start_with_descriptors, tell, until, Channel, Server,
 };
+use rustix::process::Signal;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use wire::stand_still;
 
 const TEST: &[u8] = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n";
 const SOCKETS: u32 = 256;
@@ -77,11 +81,11 @@
     const FEW: u32 = 64;
     config["limits"]["sockets"] = FEW.into();
     let node = start_with_descriptors("crowd", &config, FEW);
-    node.signal(rustix::process::Signal::STOP);
+    stand_still(&node);
     let _crowd: Vec<_> = (0..100).map(|_| node.connect()).collect();
     let mut viewer = node.connect();
     viewer.write_all(setup(1, "clip", 2_000).as_bytes()).unwrap();
-    node.signal(rustix::process::Signal::CONT);
+    node.signal(Signal::CONT);
     assert!(node.tested());
     let mut link = server.accept();
     let tag = link.start().unwrap();
--- a/crates/cli/tests/node_viewers.rs
+++ b/crates/cli/tests/node_viewers.rs
@@ -2,57 +2,16 @@
 //! owed. The process stands still (SIGSTOP) while both sides of a crossing are put on its sockets.
 
 mod platform;
+#[path = "platform/wire.rs"]
+mod wire;
 
 use platform::{config, head, message, reset, setup, start, teardown, until, Channel, Node, LONG};
 use rustix::process::Signal;
-use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{channel, Receiver};
+use serde_json::json;
+use std::io::Write;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::Duration;
-
-/// A video server that tells of each set-up, and writes what the test says.
-struct Wire {
-    address: SocketAddr,
-    lines: Receiver<(Value, TcpStream)>,
-}
-
-impl Wire {
-    fn new() -> Wire {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let (tell, lines) = channel();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().map(Result::unwrap) {
-                let (tell, own) = (tell.clone(), stream.try_clone().unwrap());
-                std::thread::spawn(move || {
-                    for line in BufReader::new(stream).lines().map_while(Result::ok) {
-                        let _ = tell.send((serde_json::from_str(&line).unwrap(), own.try_clone().unwrap()));
-                    }
-                });
-            }
-        });
-        Wire { address, lines }
-    }
-
-    /// The next set-up that comes: its id, and its connection.
-    fn start(&self) -> (String, TcpStream) {
-        loop {
-            let (line, stream) = self.lines.recv_timeout(LONG).expect("a set-up");
-            if line["verb"] == "START" {
-                return (line["tag"].as_str().unwrap().to_owned(), stream);
-            }
-        }
-    }
-}
-
-fn say(mut link: &TcpStream, line: Value) {
-    link.write_all(format!("{line}\n").as_bytes()).unwrap();
-}
-
-fn started(link: &TcpStream, tag: &str) {
-    say(link, json!({"verb": "STARTED", "tag": tag, "opts": {}, "blob": "v=0 answer"}));
-}
+use wire::{arrived, say, stand_still, started, Wire};
 
 fn id(n: u64) -> String {
     format!("{n:016x}")
@@ -107,7 +66,7 @@
         conn.write_all(b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
             .unwrap();
         assert!(head(&mut conn).starts_with("RTSP/1.0 200 "));
-        node.signal(Signal::STOP);
+        stand_still(&node);
         let all: String = (0..MANY).map(|n| setup(base + n, "clip", 2_000)).collect();
         conn.write_all(all.as_bytes()).unwrap();
         open.push(leave(conn, base));
@@ -147,9 +106,11 @@
         conn.write_all(setup(1, "clip", 2_000).as_bytes()).unwrap();
         let (line, link) = next();
         assert_eq!(line["tag"], id(1));
-        node.signal(Signal::STOP);
+        stand_still(&node);
         say(&link, json!({"verb": "FINISH", "tag": id(1), "opts": {}, "rc": 34}));
+        let client = conn.local_addr().unwrap();
         let _open = leave(conn, 1);
+        arrived(&node, client);
         node.signal(Signal::CONT);
         assert!(node.tested());
         let mut good = node.connect();
@@ -171,9 +132,11 @@
         let mut conn = node.connect();
         conn.write_all(setup(base, "paid", 2_000).as_bytes()).unwrap();
         let (tag, link) = wire.start();
-        node.signal(Signal::STOP);
+        stand_still(&node);
         started(&link, &tag);
+        let client = conn.local_addr().unwrap();
         let _open = leave(conn, base);
+        arrived(&node, client);
         node.signal(Signal::CONT);
         let (told, _) = wire.lines.recv_timeout(LONG).expect("it is told");
         assert_eq!((&told["verb"], &told["tag"]), (&json!("FINISH"), &json!(tag)), "{how}");
@@ -272,7 +235,7 @@
     node.signal(Signal::TERM);
     assert!(node.tested() && node.tested(), "it has heard of the end");
     // It stands still until its time is over, and finds in one instant that this and the viewer's are up.
-    node.signal(Signal::STOP);
+    stand_still(&node);
     std::thread::sleep(Duration::from_millis(4_500));
     node.signal(Signal::CONT);
     assert!(head(&mut conn).starts_with("RTSP/1.0 504 "));
