--- a/crates/platform/tests/zeros.rs
+++ b/crates/platform/tests/zeros.rs
@@ -134,9 +134,8 @@
                     Servers::Silent | Servers::None => _ = open.insert(s.attempt, s.sid),
                 },
                 Command::Recall { attempt, .. } => {
-                    if open.remove(&attempt).is_some() {
-                        inputs.push(end(attempt, AttemptEnd::Unanswered));
-                    }
+                    let out = open.remove(&attempt);
+                    inputs.extend(out.map(|_| end(attempt, AttemptEnd::Unanswered)));
                 }
                 Command::Answer { viewer, .. } => {
                     assert!(answers.insert(viewer, now).is_none(), "{case}: two answers");
