--- a/crates/session/tests/meets/mod.rs
+++ b/crates/session/tests/meets/mod.rs
@@ -172,7 +172,8 @@
         let holds = |a: &&Attempt| a.plays || a.end.is_some_and(may_have_run);
         let mut owed: Vec<_> = attempts.values().filter(holds).map(|a| a.server).collect();
         let mut released = self.released.clone();
-        (owed.sort(), released.sort());
+        owed.sort();
+        released.sort();
         assert_eq!(released, owed, "{case}: releases");
         let plays = attempts.values().filter(|a| a.plays).count();
         assert_eq!((self.core.held(), self.over), (0, plays), "{case}: held for nobody");
