--- a/crates/cli/tests/node_channel.rs
+++ b/crates/cli/tests/node_channel.rs
@@ -147,7 +147,9 @@
     let node = start("stop", &config(channel.address(), &[]));
     let (mut stream, _) = channel.watched();
     stream.write_all(b": alive\n\n").unwrap();
+    let begun = Instant::now();
     let again = channel.accept();
     assert_eq!(again.1, 7);
+    assert!(begun.elapsed() < LONG, "it counts as told 4 s after a stop");
     assert!(node.tested());
 }
--- a/crates/cli/tests/node_signals.rs
+++ b/crates/cli/tests/node_signals.rs
@@ -3,8 +3,9 @@
 mod platform;
 
 use platform::*;
-use rustix::process::Signal;
-use std::io::Write;
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{Read, Write};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 /// What a process goes on for after SIGTERM, at the least: 3 s and 0.7 s more, by the protocol.
@@ -158,6 +159,57 @@
     node.signal(Signal::TERM);
     let fourth = Channel::new();
     node.configure(&config(fourth.address(), &[]));
+    // The old one is as alive as ever: only the move can end it.
+    watched.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    until("the old stream is closed", || {
+        let _ = watched.write_all(b": alive\n\n");
+        watched.read(&mut [0; 64]).is_ok_and(|n| n == 0).then_some(())
+    });
     assert_eq!(fourth.accept().1, 9, "in the grace too, and from where the last one ended");
     drop(held);
 }
+
+/// The process that was started with that configuration.
+fn process_of(file: &std::path::Path) -> Pid {
+    let file = file.to_str().unwrap();
+    until("its process", || {
+        let pids = std::fs::read_dir("/proc")
+            .unwrap()
+            .flatten()
+            .filter_map(|e| e.file_name().to_str()?.parse().ok());
+        pids.filter_map(Pid::from_raw).find(|pid| {
+            let line = std::fs::read_to_string(format!("/proc/{}/cmdline", pid.as_raw_nonzero()));
+            line.is_ok_and(|l| l.contains(file))
+        })
+    })
+}
+
+/// Both signals come while the process still reads its configuration, held at its first byte. Guards a start: either
+/// ended it at once.
+#[test]
+fn signals_during_the_start_are_taken_as_any_others() {
+    let (first, second) = (Channel::new(), Channel::new());
+    let file = folder("node-start").join("config.json");
+    assert!(Command::new("mkfifo").arg(&file).status().unwrap().success());
+    let own = file.clone();
+    let started =
+        std::thread::spawn(move || ready(Command::new(env!("CARGO_BIN_EXE_cloverhollow")), "node", &own));
+    // Opened when the process opens it too.
+    let mut pipe = std::fs::File::options().write(true).open(&file).unwrap();
+    std::fs::remove_file(&file).unwrap();
+    std::fs::write(&file, config(second.address(), &[]).to_string()).unwrap();
+    let pid = process_of(&file);
+    for signal in [Signal::HUP, Signal::TERM] {
+        kill_process(pid, signal).unwrap();
+    }
+    let since = Instant::now();
+    pipe.write_all(config(first.address(), &[]).to_string().as_bytes()).unwrap();
+    drop(pipe);
+    let (life, said) = started.join().unwrap();
+    let address = said["address"].as_str().unwrap().parse().unwrap();
+    let mut node = Node { life, address, config: file };
+    assert!(node.tested());
+    assert_eq!(second.accept().1, 7, "the new configuration is taken");
+    assert!(node.ended().success());
+    assert!(since.elapsed() >= GRACE);
+}
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -5,7 +5,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
-pub use common::{folder, Life, LONG};
+pub use common::{folder, ready, Life, LONG};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
--- a/crates/node/src/desk/news/tests.rs
+++ b/crates/node/src/desk/news/tests.rs
@@ -49,14 +49,17 @@
     }
 
     /// A release waits for a connection to the server. Has the desk open one.
-    async fn first_line(mut self) -> String {
+    async fn first_line(self) -> String {
+        timeout(LONG, self.line()).await.expect("a line")
+    }
+
+    async fn line(mut self) -> String {
         self.desk.look();
         let (stream, _) = self.listener.accept().await.unwrap();
         let Some(Mail::Up(link)) = self.mails.recv().await else { panic!("it is not up") };
         self.desk.take(Mail::Up(link));
         let mut line = String::new();
-        let read = timeout(LONG, BufReader::new(stream).read_line(&mut line)).await;
-        read.expect("a line").unwrap();
+        BufReader::new(stream).read_line(&mut line).await.unwrap();
         line
     }
 }
