--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -5,6 +5,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+#[allow(unused_imports)] // each test file uses a part
 pub use common::{folder, ready, Life, LONG};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
