Tests: ports that refuse or are to be taken again are kept from the other tests

The restart failed once in four runs of the file, with all tests side by side: presumably another test was given the port that was free between the two lives, or the one that was to refuse.

--- a/crates/cli/tests/node_signals.rs
+++ b/crates/cli/tests/node_signals.rs
@@ -5,6 +5,7 @@
 use platform::*;
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -103,7 +104,7 @@
 fn a_restart_is_ready_at_once_and_takes_what_is_handed_over() {
     let server = Server::new();
     // Nobody listens there.
-    let channel = Channel::new().address();
+    let (_nobody, channel) = refusing();
     let mut text = config(channel, &[server.address()]);
     let mut first = start("life", &text);
     let address = first.address;
@@ -111,6 +112,7 @@
     assert!(first.tested());
     first.life.kill().unwrap();
     first.life.wait().unwrap();
+    let _kept = reserve(address);
     text["listen"] = address.to_string().into();
     text["seed"] = "5be9648c1f30d27a".into();
     let second = start("life", &text);
@@ -138,7 +140,7 @@
 /// The channel moves while the one before refuses, is silent, or was asked in vain again and again.
 #[test]
 fn sighup_moves_the_channel_whatever_state_the_watch_is_in() {
-    let refusing = Channel::new().address();
+    let (_nobody, refusing) = refusing();
     let node = start("move", &config(refusing, &[]));
     let silent = Channel::new();
     node.configure(&config(silent.address(), &[]));
@@ -169,6 +171,21 @@
     drop(held);
 }
 
+/// Keeps a port from whoever asks the system for any: nobody listens there, and a session manager still may.
+fn reserve(at: SocketAddr) -> socket2::Socket {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&at.into()).unwrap();
+    socket
+}
+
+/// An address that refuses, for as long as the socket is held.
+fn refusing() -> (socket2::Socket, SocketAddr) {
+    let socket = reserve("127.0.0.1:0".parse().unwrap());
+    let at = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, at)
+}
+
 /// The process that was started with that configuration.
 fn process_of(file: &std::path::Path) -> Pid {
     let file = file.to_str().unwrap();
