--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -4,16 +4,22 @@
 use crate::mail::MOST_MAILS;
 use tokio::net::TcpListener;
 
-/// Seen on sockets: a release that came in the instant in which the connection was closed here was never read.
-#[tokio::test]
-async fn what_comes_while_it_closes_is_read() {
+/// A connection that is up: the server's end, the desk's hold and its mails.
+async fn up() -> (TcpStream, Hold, mpsc::Receiver<Mail>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (mail, mut mails) = mpsc::channel(MOST_MAILS);
     let way = Way { id: LinkId(1), address, connect: Duration::from_secs(5) };
     let hold = spawn(way, None, mail);
-    let (mut server, _) = listener.accept().await.unwrap();
+    let (server, _) = listener.accept().await.unwrap();
     assert!(matches!(mails.recv().await, Some(Mail::Up(LinkId(1)))));
+    (server, hold, mails)
+}
+
+/// Seen on sockets: a release that came in the instant in which the connection was closed here was never read.
+#[tokio::test]
+async fn what_comes_while_it_closes_is_read() {
+    let (mut server, hold, mut mails) = up().await;
     assert!(hold.close());
     // Its close is on the way; what is written now was written before it was heard of.
     assert_eq!(server.read(&mut [0]).await.unwrap(), 0);
@@ -27,13 +33,7 @@
 /// A server that reads nothing, and says something: its word is heard while the write waits.
 #[tokio::test]
 async fn what_comes_while_a_write_waits_is_read() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (mail, mut mails) = mpsc::channel(MOST_MAILS);
-    let way = Way { id: LinkId(1), address, connect: Duration::from_secs(5) };
-    let hold = spawn(way, None, mail);
-    let (mut server, _) = listener.accept().await.unwrap();
-    assert!(matches!(mails.recv().await, Some(Mail::Up(LinkId(1)))));
+    let (mut server, hold, mut mails) = up().await;
     assert!(hold.write(vec![b'x'; 64 << 20].into()));
     assert_eq!(
         server.read(&mut [0]).await.unwrap(),
@@ -51,13 +51,7 @@
 /// written: the answer counts.
 #[tokio::test]
 async fn what_came_before_a_reset_is_read_though_the_write_fails() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (mail, mut mails) = mpsc::channel(MOST_MAILS);
-    let way = Way { id: LinkId(1), address, connect: Duration::from_secs(5) };
-    let hold = spawn(way, None, mail);
-    let (server, _) = listener.accept().await.unwrap();
-    assert!(matches!(mails.recv().await, Some(Mail::Up(LinkId(1)))));
+    let (server, hold, mut mails) = up().await;
     // Without a wait of this thread in between: the connection's task gets its turn after the reset.
     let server = server.into_std().unwrap();
     std::io::Write::write_all(&mut &server, &lines::Line::finish("9b", 16).encode()).unwrap();
