Node: each dropped server line, close, answer and change of the list is logged with its reason

Cause of the silence: a line of a server that matched nothing was passed over, connections to servers came and went unlogged, answers and releases were logged on level debug only, and the list's changes not at all. Now level info has: each line that is dropped with connection, server, session, verb, cause and a typed reason; each connection that is closed here (with the reason) or ended (with how, and the lines still owed); each viewer's connection that ended, with why; answers, refusals with their reason, releases, cut sessions with ids; each change of the list with name, number, address and start. The handling of a server's lines moves to a file of its own, a function for each kind; what it does is unchanged.

--- a/crates/node/src/desk/commands.rs
+++ b/crates/node/src/desk/commands.rs
@@ -26,7 +26,7 @@
                 if let Some((server, _)) = stands {
                     self.links.stands(server);
                 }
-                tracing::debug!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
+                tracing::info!(session = %sid, conn = conn.0, answer = answer.word(), "answered");
                 let text = viewer::answer(&sid, &answer, |description| description.clone().into());
                 self.write(conn, text);
                 match answer {
--- /dev/null
+++ b/crates/node/src/desk/lines.rs
@@ -0,0 +1,147 @@
+//! What the lines of video servers say, and which of them are dropped.
+
+use super::*;
+
+/// Why a line of a video server has no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DropReason {
+    /// Its connection is not known any more.
+    UnknownLink,
+    /// No session of that id stands or is being set up here.
+    UnknownSession,
+    /// The session is being set up, and the line came on another connection than that of the attempt.
+    BeingSetUp,
+    /// The session stands at another server than the one that the connection was opened to.
+    StandsElsewhere,
+    /// The attempt on the connection has ended already.
+    AttemptEnded,
+    /// A note that can't be read.
+    Unreadable,
+}
+
+impl Desk {
+    /// Takes a line of a video server.
+    pub(super) fn line(&mut self, id: LinkId, line: Line) {
+        let Some(heard) = self.links.heard(id, &line) else {
+            return dropped(id, None, &line, DropReason::UnknownLink);
+        };
+        tracing::debug!(link = id.0, server = heard.server, ?line, "heard");
+        if !heard.own && matches!(line.verb, Verb::Finish | Verb::Notice) {
+            // What it says of a session may follow right behind the word that the session stands.
+            self.step();
+        }
+        let effect = match (line.verb, heard.own) {
+            (Verb::Started, true) => self.started(id, &line),
+            (Verb::Started, false) => self.started_for_nobody(&heard, &line),
+            (Verb::Finish, true) => self.attempt_finished(id, &line),
+            (Verb::Finish, false) => self.released(&heard, &line),
+            (Verb::Notice, _) => self.note(&heard, &line),
+            (Verb::Echo, _) => {
+                let passed = Line { rc: Some(1), ..Line::new(Verb::Echoed, &line.tag) };
+                self.links.tell(heard.server, passed);
+                Ok(())
+            }
+            // Progress and acknowledgements, and what a server has no reason to send.
+            _ => Ok(()),
+        };
+        if let Err(reason) = effect {
+            dropped(id, Some(heard.server), &line, reason);
+        }
+    }
+
+    /// The answer to the set-up on that connection: its session stands.
+    fn started(&mut self, id: LinkId, line: &Line) -> Result<(), DropReason> {
+        let Some(answer) = line.blob.clone() else {
+            tracing::info!(link = id.0, session = %line.tag, "an answer without a description is given up");
+            let ended = self.links.spoilt(id);
+            self.ended(ended, told::load(line));
+            return Ok(());
+        };
+        let attempt = self.links.done(id).ok_or(DropReason::AttemptEnded)?;
+        self.inputs.push(Input::Playing { attempt, load: Load::default(), answer });
+        Ok(())
+    }
+
+    /// A set-up that was given up, or an answer to nothing: it holds nothing that anybody waits for, also where its
+    /// session stands or is being set up elsewhere. On one that is being closed its give-up went out already.
+    fn started_for_nobody(&mut self, heard: &Heard, line: &Line) -> Result<(), DropReason> {
+        if heard.closing {
+            return Err(DropReason::AttemptEnded);
+        }
+        if !self.nobodys(heard.server, &line.tag) {
+            return Err(DropReason::BeingSetUp);
+        }
+        tracing::info!(session = %line.tag, server = heard.server, "an answer that nobody waits for is given up");
+        self.links.tell(heard.server, Line::finish(&line.tag, cause::DONE));
+        Ok(())
+    }
+
+    /// The set-up on that connection ends without a session.
+    fn attempt_finished(&mut self, id: LinkId, line: &Line) -> Result<(), DropReason> {
+        let end = match line.rc {
+            Some(cause::FULL) => AttemptEnd::Full,
+            Some(cause::MOOT) => AttemptEnd::NeverSent,
+            Some(cause::ERROR) => AttemptEnd::Error { status: cause::ERROR as u16 },
+            _ => AttemptEnd::Reset,
+        };
+        let ended = self.links.done(id).map(|attempt| (attempt, end));
+        self.ended(ended, told::load(line));
+        Ok(())
+    }
+
+    /// A session that stood is released by its server.
+    fn released(&mut self, heard: &Heard, line: &Line) -> Result<(), DropReason> {
+        let cause = line.rc.unwrap_or(cause::RESET);
+        if !self.standing.released(heard.server, &line.tag, cause) {
+            return Err(self.not_standing(&line.tag));
+        }
+        let why = match cause {
+            cause::DONE => OverWhy::Ended,
+            cause::CANCELLED => OverWhy::Quit,
+            _ => OverWhy::Lost,
+        };
+        self.inputs.push(over(line.tag.as_str().into(), why, told::load(line)));
+        Ok(())
+    }
+
+    /// A note on a session that stands.
+    fn note(&mut self, heard: &Heard, line: &Line) -> Result<(), DropReason> {
+        let note = told::note(line).ok_or(DropReason::Unreadable)?;
+        // It speaks of as long ago as notes are late.
+        let at = self.clock.now().saturating_sub(self.site.settings.told_late);
+        if let Some(gossip) = &mut self.gossip {
+            gossip.read(at, heard.server, note);
+        }
+        self.inputs.push(Input::Note { sid: line.tag.as_str().into(), note });
+        Ok(())
+    }
+
+    /// Whether a session neither stands at that server nor is being set up there.
+    fn nobodys(&self, server: ServerId, sid: &str) -> bool {
+        !self.standing.stands_at(server, sid) && !self.links.out_to(server, sid)
+    }
+
+    /// Why a word on a session that does not stand where its server says so has no effect.
+    fn not_standing(&self, sid: &str) -> DropReason {
+        if !self.standing.knows(sid) {
+            DropReason::UnknownSession
+        } else if self.standing.asked_on(sid).is_some() {
+            DropReason::BeingSetUp
+        } else {
+            DropReason::StandsElsewhere
+        }
+    }
+}
+
+/// Each line that has no effect is logged with the reason: it may be a word that somebody waits for.
+fn dropped(link: LinkId, server: Option<ServerId>, line: &Line, reason: DropReason) {
+    tracing::info!(
+        link = link.0,
+        server,
+        session = %line.tag,
+        verb = ?line.verb,
+        cause = line.rc,
+        ?reason,
+        "a server's line is dropped"
+    );
+}
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -5,6 +5,7 @@
 
 mod commands;
 mod end;
+mod lines;
 mod news;
 mod servers;
 mod viewers;
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -1,4 +1,4 @@
-//! Video servers: what is sent there, what their lines say, whose sessions are cut.
+//! Video servers: what is sent there, how attempts end, whose sessions are cut.
 
 use super::*;
 
@@ -20,74 +20,6 @@
         }
     }
 
-    pub(super) fn line(&mut self, id: LinkId, line: Line) {
-        let Some(Heard { server, own, closing }) = self.links.heard(id, &line) else { return };
-        tracing::debug!(link = id.0, server, ?line, "heard");
-        if !own && matches!(line.verb, Verb::Finish | Verb::Notice) {
-            // What it says of a session may follow right behind the word that the session stands.
-            self.step();
-        }
-        match (line.verb, own) {
-            (Verb::Started, true) => match line.blob {
-                Some(answer) => {
-                    let Some(attempt) = self.links.done(id) else { return };
-                    self.inputs.push(Input::Playing { attempt, load: Load::default(), answer });
-                }
-                None => {
-                    let ended = self.links.spoilt(id);
-                    self.ended(ended, told::load(&line));
-                }
-            },
-            (Verb::Finish, true) => {
-                let end = match line.rc {
-                    Some(cause::FULL) => AttemptEnd::Full,
-                    Some(cause::MOOT) => AttemptEnd::NeverSent,
-                    Some(cause::ERROR) => AttemptEnd::Error { status: cause::ERROR as u16 },
-                    _ => AttemptEnd::Reset,
-                };
-                let ended = self.links.done(id).map(|attempt| (attempt, end));
-                self.ended(ended, told::load(&line));
-            }
-            (Verb::Finish, false) => {
-                let cause = line.rc.unwrap_or(cause::RESET);
-                if self.standing.released(server, &line.tag, cause) {
-                    let why = match cause {
-                        cause::DONE => OverWhy::Ended,
-                        cause::CANCELLED => OverWhy::Quit,
-                        _ => OverWhy::Lost,
-                    };
-                    let load = told::load(&line);
-                    self.inputs.push(over(line.tag.into(), why, load));
-                }
-            }
-            (Verb::Notice, _) => {
-                if let Some(note) = told::note(&line) {
-                    // It speaks of as long ago as notes are late.
-                    let at = self.clock.now().saturating_sub(self.site.settings.told_late);
-                    if let Some(gossip) = &mut self.gossip {
-                        gossip.read(at, server, note);
-                    }
-                    self.inputs.push(Input::Note { sid: line.tag.into(), note });
-                }
-            }
-            (Verb::Echo, _) => {
-                let passed = Line { rc: Some(1), ..Line::new(Verb::Echoed, &line.tag) };
-                self.links.tell(server, passed);
-            }
-            // A set-up that was given up, or an answer to nothing: it holds nothing that anybody waits for, also where
-            // its session stands or is being set up elsewhere. On one that is being closed its give-up went out already.
-            (Verb::Started, false) if !closing && self.nobodys(server, &line.tag) => {
-                self.links.tell(server, Line::finish(&line.tag, cause::DONE));
-            }
-            _ => {}
-        }
-    }
-
-    /// Whether a session neither stands at that server nor is being set up there.
-    fn nobodys(&self, server: ServerId, sid: &str) -> bool {
-        !self.standing.stands_at(server, sid) && !self.links.out_to(server, sid)
-    }
-
     pub(super) fn down(&mut self, id: LinkId, down: Down, owed: Vec<Line>) {
         let ended = self.links.down(id, down, owed);
         self.ended(ended, Load::default());
@@ -127,6 +59,7 @@
         }
         tracing::info!(server, sessions = cut.len(), "a video server has cut its sessions");
         for sid in cut {
+            tracing::info!(session = %sid, server, "cut at its server");
             self.standing.released(server, &sid, cause::RESET);
             self.inputs.push(over(sid, OverWhy::Lost, Load::default()));
         }
--- a/crates/node/src/desk/viewers.rs
+++ b/crates/node/src/desk/viewers.rs
@@ -3,14 +3,28 @@
 use super::*;
 use std::collections::VecDeque;
 
+/// Why a viewer's connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ViewerEnd {
+    /// Its viewer has closed it, or it broke.
+    Closed,
+    /// Its place was wanted.
+    Evicted,
+    /// Too much waits to be written to it.
+    ReadsTooSlowly,
+    /// What came on it can't be used, and it can't be told to close behind the answer.
+    Unusable,
+}
+
 impl Desk {
     pub(super) fn opened(&mut self, conn: ConnId, hold: ViewerHold) {
         if self.conns.len() >= self.bounds.conns {
             // What came meanwhile tells which are idle.
             self.hear();
             match self.standing.spare(self.clock.now()) {
-                Some(spare) => self.closed(spare),
-                None => return, // each has a set-up open: dropping the hold turns the new one away
+                Some(spare) => self.close_now(spare, ViewerEnd::Evicted),
+                // Dropping the hold turns the new one away.
+                None => return tracing::info!(conn = conn.0, "turned away: each connection has a set-up open"),
             }
         }
         self.conns.insert(conn, hold);
@@ -44,7 +58,7 @@
             }
         }
         if ended {
-            self.closed(conn);
+            self.close_now(conn, ViewerEnd::Closed);
         }
     }
 
@@ -54,6 +68,7 @@
             let Came::Message(message) = came else { return };
             if let Ok(Wish::Setup(setup)) = viewer::read(message, &self.site) {
                 if setup.at.is_none() && !self.standing.knows(&setup.sid) {
+                    tracing::info!(session = %setup.sid, conn = conn.0, "refused: its connection is being closed");
                     self.write(conn, viewer::refusal(&setup.sid, self.site.settings.limits.hold_off));
                 }
             }
@@ -79,12 +94,15 @@
     pub(super) fn look_for(&mut self, sid: &Sid) {
         let Some(conn) = self.standing.asked_on(sid) else { return };
         if self.conns.get(&conn).is_some_and(|hold| hold.viewer.has_closed()) {
-            self.closed(conn);
+            self.close_now(conn, ViewerEnd::Closed);
         }
     }
 
-    pub(super) fn closed(&mut self, conn: ConnId) {
-        self.conns.remove(&conn);
+    /// Lets go of a viewer's connection: the set-ups open on it are given up.
+    pub(super) fn close_now(&mut self, conn: ConnId, end: ViewerEnd) {
+        if self.conns.remove(&conn).is_some() {
+            tracing::info!(conn = conn.0, ?end, "a viewer's connection ended");
+        }
         for (viewer, sid) in self.standing.closed(conn) {
             self.inputs.push(Input::HungUp { viewer, sid });
         }
@@ -95,8 +113,7 @@
         let Some(hold) = self.conns.get(&conn) else { return false };
         let queued = hold.write(bytes);
         if !queued {
-            tracing::info!(conn = conn.0, "a viewer reads too slowly");
-            self.closed(conn);
+            self.close_now(conn, ViewerEnd::ReadsTooSlowly);
         }
         queued
     }
@@ -109,7 +126,7 @@
             self.inputs.push(Input::HungUp { viewer, sid });
         }
         if self.conns.get(&conn).is_some_and(|hold| !hold.close()) {
-            self.closed(conn);
+            self.close_now(conn, ViewerEnd::Unusable);
         }
     }
 
@@ -117,7 +134,7 @@
         let mut next = Some(release);
         // One that can't be written any more ends there; each time that costs a connection.
         while let Some(Release { conn, sid, cause }) = next {
-            tracing::debug!(session = %sid, conn = conn.0, cause, "released");
+            tracing::info!(session = %sid, conn = conn.0, cause, "released towards its viewer");
             if self.write(conn, viewer::release(&sid, cause)) {
                 return;
             }
@@ -151,7 +168,7 @@
             }
             Ok(Wish::Nothing) => {}
             Err(unusable) => {
-                tracing::debug!(conn = conn.0, error = %unusable, "a message that can't be used");
+                tracing::info!(conn = conn.0, error = %unusable, "a message that can't be used");
                 return Err(unusable.to);
             }
         }
@@ -183,6 +200,7 @@
         let full = self.standing.open() >= self.bounds.open
             || self.standing.open_on(conn) >= self.bounds.open_on_one;
         if full {
+            tracing::info!(session = %sid, conn = conn.0, "refused: too many set-ups are open");
             let refusal = viewer::refusal(&sid, self.site.settings.limits.hold_off);
             self.write(conn, refusal);
             return Ok(());
--- a/crates/node/src/links/ends.rs
+++ b/crates/node/src/links/ends.rs
@@ -27,6 +27,9 @@
     pub(crate) fn down(&mut self, id: LinkId, down: Down, owed: Vec<Line>) -> Ended {
         let attempt = self.settle(id);
         let link = self.links.remove(&id)?;
+        let session = attempt.as_ref().map(|(_, sid)| &**sid);
+        let (server, address, owed_lines) = (link.server, link.address, owed.len());
+        tracing::info!(link = id.0, server, %address, ?down, session, owed_lines, "connection to a server ended");
         self.watch.down(self.clock.now(), link.server, id, down);
         owed.into_iter().for_each(|line| self.tell(link.server, line));
         let (attempt, sid) = attempt?;
@@ -74,16 +77,17 @@
         let Some(link) = self.links.get(&id) else { return };
         let (server, line) = (link.server, Line::finish(sid, cause::DONE));
         let told = link.hold.last(line.encode());
-        self.close(id);
+        self.close(id, CloseReason::GivenUp);
         if !told {
             self.tell(server, line); // it has just broken: its session may stand all the same
         }
     }
 
     /// Closes a connection after what is queued on it. One that has just broken is removed when that is heard.
-    pub(super) fn close(&mut self, id: LinkId) {
+    pub(super) fn close(&mut self, id: LinkId, reason: CloseReason) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.closing = true;
+        tracing::info!(link = id.0, server = link.server, ?reason, "connection to a server is closed");
         self.watch.closing(link.server, id);
         if !link.hold.close() && !link.hold.orders.is_closed() {
             self.links.remove(&id);
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -23,9 +23,21 @@
 /// How long a connection may take to be made where the settings don't tell.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// Why a connection to a video server is closed here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// It has been idle for too long, or there are too many idle ones.
+    Idle,
+    /// The set-up on it is given up.
+    GivenUp,
+    /// It can't carry the set-up that was meant for it.
+    Unusable,
+}
+
 /// A connection to a video server.
 struct Link {
     server: ServerId,
+    address: SocketAddr,
     hold: Hold,
     up: bool,
     /// It closes after what is queued: nothing more is written on it.
@@ -109,7 +121,7 @@
                     Err(back) => first = back,
                 }
             }
-            self.close(id);
+            self.close(id, CloseReason::Unusable);
         }
         self.open(server, address, Some((attempt, sid)), Some(first));
     }
@@ -130,7 +142,8 @@
             self.out.insert(*attempt, id);
         }
         let last = attempt.as_ref().map(|(_, sid)| sid.clone());
-        self.links.insert(id, Link { server, hold, up: false, closing: false, attempt, last, gate });
+        tracing::debug!(link = id.0, server, %address, session = ?last, "connection to a server is opened");
+        self.links.insert(id, Link { server, address, hold, up: false, closing: false, attempt, last, gate });
         self.watch.opening(server, id);
     }
 
@@ -208,7 +221,7 @@
                     Some(address) => self.open(server, address, None, None),
                     None => cut.push(server),
                 },
-                Act::Close(id) => self.close(id),
+                Act::Close(id) => self.close(id, CloseReason::Idle),
                 Act::Cut(server) => cut.push(server),
             }
         }
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -150,7 +150,7 @@
         self.check(told.cursor, &nodes, whole)?;
         (self.cursor, self.begun) = (told.cursor, true);
         // In order: a name that is gone may come again in the same event, as another server.
-        let entries: Vec<_> = nodes.endpoints.into_iter().map(|e| self.entry(e, unix_ms)).collect();
+        let entries: Vec<_> = nodes.endpoints.into_iter().map(|e| self.entry(e, unix_ms, whole)).collect();
         if whole {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
             self.by_name.retain(|_, id| named.contains(id));
@@ -181,13 +181,20 @@
         Ok(())
     }
 
-    fn entry(&mut self, e: Endpoint, unix_ms: u64) -> ServerEntry {
+    fn entry(&mut self, e: Endpoint, unix_ms: u64, whole: bool) -> ServerEntry {
         let next = &mut self.next;
         let key = title_id(&e.name);
         let id = *self.by_name.entry(e.name.clone()).or_insert_with(|| {
             *next += 1;
             *next
         });
+        let (version, server, name, address, state, since_ms) =
+            (self.cursor, id, &*e.name, e.address, e.status, e.since_ms);
+        if whole {
+            tracing::debug!(version, server, name, %address, ?state, since_ms, "listed");
+        } else {
+            tracing::info!(version, server, name, %address, ?state, since_ms, "the list changes");
+        }
         if e.status == Status::Terminated {
             // Names of those that are gone must not pile up.
             self.by_name.remove(&e.name);
