--- a/crates/cli/tests/platform/standins.rs
+++ b/crates/cli/tests/platform/standins.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// The next line if one comes soon; `None`: none does, or it was closed.
+    pub fn line_now(&mut self) -> Option<Value> {
+        self.stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        let mut line = String::new();
+        let read = self.lines.read_line(&mut line);
+        self.stream.set_read_timeout(Some(LONG)).unwrap();
+        read.ok().filter(|n| *n > 0).map(|_| serde_json::from_str(&line).unwrap())
+    }
+
     /// The next set-up: its id. Lines about other things are passed over.
     pub fn start(&mut self) -> Option<String> {
         loop {
--- a/crates/node/src/desk/viewers.rs
+++ b/crates/node/src/desk/viewers.rs
@@ -24,7 +24,9 @@
             match self.standing.spare(self.clock.now()) {
                 Some(spare) => self.close_now(spare, ViewerEnd::Evicted),
                 // Dropping the hold turns the new one away.
-                None => return tracing::info!(conn = conn.0, "turned away: each connection has a set-up open"),
+                None => {
+                    return tracing::info!(conn = conn.0, "turned away: each connection has a set-up open")
+                }
             }
         }
         self.conns.insert(conn, hold);
