A server's test is answered on the connection that it came on

Callers saw: a server that tests a connection (ECHO) got the answer on another one, or on a new one. Cause: the answer went by Links::tell, which takes the server's newest idle connection. Evidence: a_test_is_passed_on_the_connection_that_it_came_on was red with two connections. The answer is now written on the connection itself, and on none where that is being closed. Result: green.

--- a/crates/node/src/desk/lines.rs
+++ b/crates/node/src/desk/lines.rs
@@ -37,8 +37,8 @@
             (Verb::Finish, false) => self.released(&heard, &line),
             (Verb::Notice, _) => self.note(&heard, &line),
             (Verb::Echo, _) => {
-                let passed = Line { rc: Some(1), ..Line::new(Verb::Echoed, &line.tag) };
-                self.links.tell(heard.server, passed);
+                // It tests that connection, no other.
+                self.links.write_on(id, &Line { rc: Some(1), ..Line::new(Verb::Echoed, &line.tag) });
                 Ok(())
             }
             // Progress and acknowledgements, and what a server has no reason to send.
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -194,6 +194,13 @@
         (*open == attempt).then_some(sid)
     }
 
+    /// Writes a line on that connection and no other; nothing where it is being closed.
+    pub(crate) fn write_on(&self, id: LinkId, line: &Line) {
+        if let Some(link) = self.links.get(&id).filter(|link| !link.closing) {
+            link.hold.write(line.encode());
+        }
+    }
+
     /// Whether a set-up of that session is open at that server.
     pub(crate) fn out_to(&self, server: ServerId, sid: &str) -> bool {
         let open = |l: &Link| l.server == server && l.attempt.as_ref().is_some_and(|(_, s)| **s == *sid);
