A server's line is matched by its process and the session, not by its connection

Callers saw: a release on a connection opened under a server's former name reached no viewer; a second answer there had the standing session released at its server. Cause: Desk::line compared the number for which the connection was opened with the one at which the session stands. The end of a set-up that was given up (causes 34, 47, 102, while its connection closes) no longer counts as the release of a session that stands by another attempt.

--- a/crates/node/src/desk/lines.rs
+++ b/crates/node/src/desk/lines.rs
@@ -11,7 +11,7 @@
     UnknownSession,
     /// The session is being set up, and the line came on another connection than that of the attempt.
     BeingSetUp,
-    /// The session stands at another server than the one that the connection was opened to.
+    /// The session stands at another process than the one that spoke.
     StandsElsewhere,
     /// The attempt on the connection has ended already.
     AttemptEnded,
@@ -30,6 +30,9 @@
             // What it says of a session may follow right behind the word that the session stands.
             self.step();
         }
+        if let Some(server) = self.stands_with(&heard, &line.tag).filter(|server| *server != heard.server) {
+            self.links.heard_of(server);
+        }
         let effect = match (line.verb, heard.own) {
             (Verb::Started, true) => self.started(id, &line),
             (Verb::Started, false) => self.started_for_nobody(&heard, &line),
@@ -68,7 +71,9 @@
         if heard.closing {
             return Err(DropReason::AttemptEnded);
         }
-        if !self.nobodys(heard.server, &line.tag) {
+        if self.stands_with(heard, &line.tag).is_some()
+            || self.links.out_to(heard.address, &line.tag).is_some()
+        {
             return Err(DropReason::BeingSetUp);
         }
         tracing::info!(session = %line.tag, server = heard.server, "an answer that nobody waits for is given up");
@@ -92,9 +97,12 @@
     /// A session that stood is released by its server.
     fn released(&mut self, heard: &Heard, line: &Line) -> Result<(), DropReason> {
         let cause = line.rc.unwrap_or(cause::RESET);
-        if !self.standing.released(heard.server, &line.tag, cause) {
-            return Err(self.not_standing(&line.tag));
+        let server = self.stands_with(heard, &line.tag).ok_or_else(|| self.not_standing(&line.tag))?;
+        if heard.closing && !matches!(cause, cause::DONE | cause::RESET | cause::CANCELLED) {
+            // No session that stands ends so: it is the end of the set-up that was given up there.
+            return Err(DropReason::AttemptEnded);
         }
+        self.standing.released(server, &line.tag, cause);
         let why = match cause {
             cause::DONE => OverWhy::Ended,
             cause::CANCELLED => OverWhy::Quit,
@@ -116,9 +124,12 @@
         Ok(())
     }
 
-    /// Whether a session neither stands at that server nor is being set up there.
-    fn nobodys(&self, server: ServerId, sid: &str) -> bool {
-        !self.standing.stands_at(server, sid) && !self.links.out_to(server, sid)
+    /// Where a session stands, if it is with the process that spoke. A process may speak of its sessions on any of its
+    /// connections, also on those that were opened to it under another number.
+    fn stands_with(&self, heard: &Heard, sid: &str) -> Option<ServerId> {
+        let server = self.standing.server_of(sid)?;
+        let same = server == heard.server || self.core.list().address(server) == Some(heard.address);
+        same.then_some(server)
     }
 
     /// Why a word on a session that does not stand where its server says so has no effect.
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -68,7 +68,10 @@
 
 /// What came on a connection, as far as the connection tells.
 pub(crate) struct Heard {
+    /// What it was opened for.
     pub(crate) server: ServerId,
+    /// Where the process that spoke listens.
+    pub(crate) address: SocketAddr,
     /// It is about the set-up that is open there.
     pub(crate) own: bool,
     pub(crate) closing: bool,
@@ -201,10 +204,16 @@
         }
     }
 
-    /// Whether a set-up of that session is open at that server.
-    pub(crate) fn out_to(&self, server: ServerId, sid: &str) -> bool {
-        let open = |l: &Link| l.server == server && l.attempt.as_ref().is_some_and(|(_, s)| **s == *sid);
-        self.links.values().any(open)
+    /// The attempt at that session that is open at the process there.
+    pub(crate) fn out_to(&self, process: SocketAddr, sid: &str) -> Option<AttemptId> {
+        let there = self.links.values().filter(|l| l.address == process);
+        let mut open = there.filter_map(|l| l.attempt.as_ref());
+        open.find(|(_, s)| **s == *sid).map(|(attempt, _)| *attempt)
+    }
+
+    /// A server was heard of by a connection that was opened under another number of its process.
+    pub(crate) fn heard_of(&mut self, server: ServerId) {
+        self.watch.heard(self.clock.now(), server);
     }
 
     /// A line came.
@@ -212,7 +221,7 @@
         let link = self.links.get(&id)?;
         self.watch.heard(self.clock.now(), link.server);
         let own = link.attempt.as_ref().is_some_and(|(_, sid)| **sid == *line.tag);
-        Some(Heard { server: link.server, own, closing: link.closing })
+        Some(Heard { server: link.server, address: link.address, own, closing: link.closing })
     }
 
     /// Does what is due with connections; gives the servers whose sessions are cut.
--- a/crates/platform/src/standing/mod.rs
+++ b/crates/platform/src/standing/mod.rs
@@ -200,9 +200,17 @@
         self.by_server.contains_key(&server)
     }
 
+    /// The server at which that session stands.
+    pub fn server_of(&self, sid: &str) -> Option<ServerId> {
+        match self.sessions.get(sid)?.state {
+            State::Stands(server) => Some(server),
+            State::Asked(_) => None,
+        }
+    }
+
     /// Whether that session stands at that server.
     pub fn stands_at(&self, server: ServerId, sid: &str) -> bool {
-        self.sessions.get(sid).is_some_and(|s| matches!(s.state, State::Stands(at) if at == server))
+        self.server_of(sid) == Some(server)
     }
 
     /// Whether its server may still hold a session that stands.
