A process that was replaced is told to let its sessions go, and its connections are closed

Callers saw: where another name came to a server's address, its sessions were released towards their viewers while a process that lived on all the same played them for nobody; where a start was told of a listed server, set-ups and releases went on connections to the process before, which may be silent for good. Cause: the cut told the core only, and connections kept their place. Now connections opened before the replacement are marked: the first is told each session that was cut, idle ones are closed behind that, and one with a set-up open once it has ended; none carries anything new.

--- a/crates/node/src/desk/news.rs
+++ b/crates/node/src/desk/news.rs
@@ -24,11 +24,11 @@
             // Another process at the same name or at the same address: what stood at the one before is cut. Not at
             // each word of the same one: what waits for a connection to it would be dropped.
             if let Some(ago) = e.started_ms_ago.filter(|_| self.core.list().is_restart(e)) {
-                self.cut(e.id, now.saturating_sub(Duration::from_millis(ago)));
+                self.replaced(e.id, now.saturating_sub(Duration::from_millis(ago)));
             }
             if e.state == WireState::Serving {
                 let before = self.core.list().others_at(e.address, e.id);
-                before.into_iter().for_each(|server| self.cut(server, Duration::MAX));
+                before.into_iter().for_each(|server| self.replaced(server, Duration::MAX));
             }
         }
         if let Some(gossip) = &mut self.gossip {
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -47,25 +47,31 @@
         }
         let (standing, core) = (&self.standing, &self.core);
         let cut = self.links.look(|server| standing.any_at(server), |server| core.list().address(server));
-        cut.into_iter().for_each(|server| self.cut(server, Duration::MAX));
+        cut.into_iter().for_each(|server| _ = self.cut(server, Duration::MAX));
         if self.directory.remembers_any() {
             let (standing, links) = (&self.standing, &self.links);
             self.directory.forget(|server| standing.any_at(server) || links.uses(server));
         }
     }
 
-    /// The sessions that stood at a server before that time are cut.
-    pub(super) fn cut(&mut self, server: ServerId, before: Duration) {
+    /// Another process stands where a server's did, since that time: what stood there before is cut.
+    pub(super) fn replaced(&mut self, server: ServerId, by: Duration) {
+        let cut = self.cut(server, by);
+        self.links.replaced(server, by, &cut);
+    }
+
+    /// The sessions that stood at a server before that time are cut: which.
+    pub(super) fn cut(&mut self, server: ServerId, before: Duration) -> Vec<Sid> {
         let cut = self.standing.at(server, before);
         self.links.cut(server);
-        if cut.is_empty() {
-            return;
+        if !cut.is_empty() {
+            tracing::info!(server, sessions = cut.len(), "a video server has cut its sessions");
         }
-        tracing::info!(server, sessions = cut.len(), "a video server has cut its sessions");
-        for sid in cut {
+        for sid in &cut {
             tracing::info!(session = %sid, server, "cut at its server");
-            self.standing.released(server, &sid, cause::RESET);
-            self.inputs.push(over(sid, OverWhy::Lost, Load::default()));
+            self.standing.released(server, sid, cause::RESET);
+            self.inputs.push(over(sid.clone(), OverWhy::Lost, Load::default()));
         }
+        cut
     }
 }
--- a/crates/node/src/links/ends.rs
+++ b/crates/node/src/links/ends.rs
@@ -5,14 +5,24 @@
 impl Links {
     /// No set-up is open on it any more: the one that was.
     pub(crate) fn done(&mut self, id: LinkId) -> Option<AttemptId> {
-        self.settle(id).map(|(attempt, _)| attempt)
+        let (attempt, _) = self.settle(id)?;
+        self.rest(id);
+        Some(attempt)
+    }
+
+    /// A connection on which no set-up is open any more waits for the next.
+    fn rest(&mut self, id: LinkId) {
+        let Some(link) = self.links.get(&id) else { return };
+        if link.former {
+            return self.close(id, CloseReason::FormerProcess);
+        }
+        self.watch.idle(self.clock.now(), link.server, id);
     }
 
     fn settle(&mut self, id: LinkId) -> Option<(AttemptId, Sid)> {
         let link = self.links.get_mut(&id)?;
         let (attempt, sid) = link.attempt.take()?;
         self.out.remove(&attempt);
-        self.watch.idle(self.clock.now(), link.server, id);
         Some((attempt, sid))
     }
 
@@ -65,7 +75,7 @@
         let (attempt, sid) = self.settle(id)?;
         match (unsent, up) {
             // Nothing went out on it: it is as good as before.
-            (true, true) => {}
+            (true, true) => self.rest(id),
             (true, false) => drop(self.down(id, Down::Broke, Vec::new())),
             (false, _) => self.give_up(id, &sid),
         }
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -32,6 +32,8 @@
     GivenUp,
     /// It can't carry the set-up that was meant for it.
     Unusable,
+    /// It was opened to a process that has been replaced since.
+    FormerProcess,
 }
 
 /// A connection to a video server.
@@ -39,7 +41,10 @@
     server: ServerId,
     address: SocketAddr,
     hold: Hold,
+    opened: Duration,
     up: bool,
+    /// It was opened to a process that has been replaced since: it carries nothing more.
+    former: bool,
     /// It closes after what is queued: nothing more is written on it.
     closing: bool,
     /// The set-up that is open on it.
@@ -146,7 +151,10 @@
         }
         let last = attempt.as_ref().map(|(_, sid)| sid.clone());
         tracing::debug!(link = id.0, server, %address, session = ?last, "connection to a server is opened");
-        self.links.insert(id, Link { server, address, hold, up: false, closing: false, attempt, last, gate });
+        let opened = self.clock.now();
+        let (up, former, closing) = (false, false, false);
+        self.links
+            .insert(id, Link { server, address, hold, opened, up, former, closing, attempt, last, gate });
         self.watch.opening(server, id);
     }
 
@@ -175,7 +183,8 @@
     /// A connection that is there and may carry a line.
     fn at(&self, server: ServerId) -> Option<&Link> {
         let idle = self.watch.link(server).and_then(|id| self.links.get(&id));
-        idle.or_else(|| self.links.values().find(|l| l.server == server && l.up && !l.closing))
+        let any = |l: &&Link| l.server == server && l.up && !l.closing && !l.former;
+        idle.or_else(|| self.links.values().find(any))
     }
 
     /// Lines that waited go, all or none.
@@ -258,6 +267,23 @@
     pub(crate) fn cut(&mut self, server: ServerId) {
         self.waiting.remove(&server);
     }
+
+    /// The process of a server has been replaced by then: connections opened before lead to the former one. It is told to
+    /// let its sessions go, should it live all the same, and each connection is closed once no set-up is open on it.
+    pub(crate) fn replaced(&mut self, server: ServerId, by: Duration, cut: &[Sid]) {
+        let former = |l: &Link| l.server == server && l.up && !l.closing && l.opened < by;
+        let ids: Vec<LinkId> = self.links.iter().filter(|(_, l)| former(l)).map(|(id, _)| *id).collect();
+        if let Some(link) = ids.first().and_then(|id| self.links.get(id)) {
+            cut.iter().for_each(|sid| _ = link.hold.write(Line::finish(sid, cause::CANCELLED).encode()));
+        }
+        for id in ids {
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            link.former = true;
+            if link.attempt.is_none() {
+                self.close(id, CloseReason::FormerProcess);
+            }
+        }
+    }
 }
 
 #[cfg(test)]
