A release that comes before its session stands ends the session once it does

Callers saw: a client of a restarted session manager, handed over after its server had released the session, stayed on a session that nobody held; so did one whose release overtook the answer on another connection. Cause: Desk::released drops what names no standing session. It counts once, for that process, and goes with its attempt: the session of a later one is another.

--- a/crates/node/src/desk/commands.rs
+++ b/crates/node/src/desk/commands.rs
@@ -30,7 +30,10 @@
                 let text = viewer::answer(&sid, &answer, |description| description.clone().into());
                 self.write(conn, text);
                 match answer {
-                    Answer::Stream { .. } => self.usual(conn),
+                    Answer::Stream { route, .. } => {
+                        self.usual(conn);
+                        self.ended_early(&route.sid, route.server, route.address);
+                    }
                     // It came under the id of one whose viewer went as it began to play: nobody follows here.
                     Answer::Follow(route) => {
                         self.inputs.push(over(route.sid.clone(), OverWhy::Quit, Load::default()));
--- a/crates/node/src/desk/lines.rs
+++ b/crates/node/src/desk/lines.rs
@@ -1,6 +1,7 @@
 //! What the lines of video servers say, and which of them are dropped.
 
 use super::*;
+use std::net::SocketAddr;
 
 /// Why a line of a video server has no effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,21 +98,53 @@
     /// A session that stood is released by its server.
     fn released(&mut self, heard: &Heard, line: &Line) -> Result<(), DropReason> {
         let cause = line.rc.unwrap_or(cause::RESET);
-        let server = self.stands_with(heard, &line.tag).ok_or_else(|| self.not_standing(&line.tag))?;
-        if heard.closing && !matches!(cause, cause::DONE | cause::RESET | cause::CANCELLED) {
-            // No session that stands ends so: it is the end of the set-up that was given up there.
+        let Some(server) = self.stands_with(heard, &line.tag) else {
+            return self.released_early(heard, line, cause);
+        };
+        if heard.closing && !ends_a_session(cause) {
+            // It is the end of the set-up that was given up there.
             return Err(DropReason::AttemptEnded);
         }
-        self.standing.released(server, &line.tag, cause);
+        self.end_session(line.tag.as_str().into(), server, cause, told::load(line));
+        Ok(())
+    }
+
+    /// A session that stands is over by its server's word.
+    fn end_session(&mut self, sid: Sid, server: ServerId, cause: i64, load: Load) {
         let why = match cause {
             cause::DONE => OverWhy::Ended,
             cause::CANCELLED => OverWhy::Quit,
             _ => OverWhy::Lost,
         };
-        self.inputs.push(over(line.tag.as_str().into(), why, told::load(line)));
+        self.standing.released(server, &sid, cause);
+        self.inputs.push(over(sid, why, load));
+    }
+
+    /// A release of a session that does not stand with the process that spoke. It is kept where the session may be about
+    /// to: its answer is under way on another connection, or it is yet to be handed over.
+    fn released_early(&mut self, heard: &Heard, line: &Line, cause: i64) -> Result<(), DropReason> {
+        let (now, reason) = (self.clock.now(), self.not_standing(&line.tag));
+        let attempt = self.links.out_to(heard.address, &line.tag);
+        let to_come = match reason {
+            DropReason::BeingSetUp => attempt.is_some(),
+            DropReason::UnknownSession => now <= self.handed_over,
+            _ => false,
+        };
+        if !to_come || heard.closing || !ends_a_session(cause) {
+            return Err(reason);
+        }
+        tracing::info!(session = %line.tag, server = heard.server, cause, "released before it stands here");
+        self.early.keep(now, line.tag.as_str().into(), heard.address, attempt, cause);
         Ok(())
     }
 
+    /// A session has come to stand: if its server has released it already, it is over.
+    pub(super) fn ended_early(&mut self, sid: &Sid, server: ServerId, process: SocketAddr) {
+        if let Some(cause) = self.early.take(self.clock.now(), sid, process) {
+            self.end_session(sid.clone(), server, cause, Load::default());
+        }
+    }
+
     /// A note on a session that stands.
     fn note(&mut self, heard: &Heard, line: &Line) -> Result<(), DropReason> {
         let note = told::note(line).ok_or(DropReason::Unreadable)?;
@@ -144,6 +177,11 @@
     }
 }
 
+/// Whether a session that stands may end by that cause; the others end a set-up.
+fn ends_a_session(cause: i64) -> bool {
+    matches!(cause, cause::DONE | cause::RESET | cause::CANCELLED)
+}
+
 /// Each line that has no effect is logged with the reason: it may be a word that somebody waits for.
 fn dropped(link: LinkId, server: Option<ServerId>, line: &Line, reason: DropReason) {
     tracing::info!(
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -20,6 +20,7 @@
 use cloverhollow_net::{unix_ms, Clock};
 use cloverhollow_platform::channel::{Directory, Told};
 use cloverhollow_platform::config::Config;
+use cloverhollow_platform::early::EarlyReleases;
 use cloverhollow_platform::lines::{cause, Line, Verb};
 use cloverhollow_platform::rtsp::{Addressee, Message};
 use cloverhollow_platform::settings::Site;
@@ -72,6 +73,8 @@
     pub(crate) directory: Directory,
     pub(crate) standing: Standing,
     links: Links,
+    /// Releases of sessions that do not stand yet.
+    early: EarlyReleases,
     pub(crate) bounds: Bounds,
     pub(crate) from: watch::Sender<From>,
     conns: HashMap<ConnId, ViewerHold>,
@@ -106,6 +109,7 @@
             directory: Directory::default(),
             standing: Standing::default(),
             links,
+            early: EarlyReleases::default(),
             bounds,
             from,
             conns: HashMap::new(),
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -16,6 +16,7 @@
 
     pub(super) fn ended(&mut self, ended: Ended, load: Load) {
         if let Some((attempt, end)) = ended {
+            self.early.attempt_ended(attempt);
             self.inputs.push(Input::AttemptEnded { attempt, end, load });
         }
     }
--- a/crates/node/src/desk/viewers.rs
+++ b/crates/node/src/desk/viewers.rs
@@ -233,5 +233,8 @@
         self.standing.adopt(sid, conn, server, now);
         self.links.stands(server);
         self.inputs.push(Input::Adopted { arrival, server });
+        if let Some(address) = self.core.list().address(server) {
+            self.ended_early(sid, server, address);
+        }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod channel;
 pub mod config;
+pub mod early;
 pub mod gossip;
 pub mod lines;
 pub mod rtsp;
