--- a/crates/lab/src/commands/hunts.rs
+++ b/crates/lab/src/commands/hunts.rs
@@ -32,6 +32,9 @@
     /// Who decides: as for `day`.
     #[arg(long, default_value = "brain")]
     policy: PolicyName,
+    /// The fronts are session managers of the platform.
+    #[arg(long)]
+    platform: bool,
     /// Leaves days that break a rule as they were drawn.
     #[arg(long)]
     no_shrink: bool,
@@ -65,12 +68,13 @@
 impl Hunt {
     /// Runs it.
     pub fn run(self, runtime: &Runtime) -> Result<ExitCode, Failure> {
-        let Hunt { ranges, days, minutes, jobs, seed, policy, no_shrink, json, dir } = self;
+        let Hunt { ranges, days, minutes, jobs, seed, policy, platform, no_shrink, json, dir } = self;
         let cores = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
         let hunt = Hunting {
             exe: std::env::current_exe()?,
             ranges: Ranges::load(&ranges)?,
             policy: policy.to_string(),
+            platform,
             dir: dir.unwrap_or_else(|| temporary("hunt")),
             first: seed,
             days,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,6 +1,7 @@
 //! Plays a day: stand-ins, discovery, fronts as processes, viewers and troubles on loopback; then the rules
 //! are checked from what passed.
 
+use crate::client::Clients;
 use crate::exchange::{Log, Seen};
 use crate::fleet::peer_cost;
 use crate::fronts::{forget, keep_file, FrontCommand, FrontError, Fronts, StartMode};
@@ -89,6 +90,7 @@
         vary: script.fleet.vary.get(),
         fronts: if options.platform { script.fronts.count() } else { 0 },
         asked: Mutex::default(),
+        stood: Mutex::default(),
     });
     let discovery = Discovery::start(log.clone(), options.host).await.map_err(DayError::StandIn)?;
     discovery.listen_for(world.fronts, options.host).await.map_err(DayError::StandIn)?;
@@ -123,8 +125,12 @@
         platform: options.platform.then(|| (script.clone(), discovery.clone())),
     };
     let fronts = Arc::new(Fronts::new(command, log.clone()));
+    let clients = options.platform.then(|| Clients::new(fronts.clone(), log.clone()));
     for front in 0..fronts.count() {
         fronts.start(front).await?;
+        if let Some(clients) = &clients {
+            clients.hand_over(front, &world).await;
+        }
     }
     // The fronts have their first list before the first viewer comes.
     sleep(Duration::from_millis(200)).await;
@@ -136,7 +142,7 @@
     tasks.spawn(keep_house(world.clone(), script.fleet.report_every_ms.get()));
     let audience = Audience::new(shifted.clone(), fronts.clone(), log.clone(), start);
     let audience = Arc::new(Audience {
-        platform: options.platform.then(|| world.clone()),
+        platform: clients.clone().map(|clients| (world.clone(), clients)),
         deaf: options.policy.deaf(),
         ..audience
     });
@@ -147,9 +153,13 @@
         discovery,
         fronts: fronts.clone(),
         wires: wires.clone(),
+        clients: clients.clone(),
         log: log.clone(),
     });
     tasks.spawn(stage.clone().play());
+    if options.platform {
+        tasks.spawn(fronts.clone().watch());
+    }
     let count = viewers.len();
     let mut watching = JoinSet::new();
     for mut v in viewers {
--- a/crates/lab/src/exchange.rs
+++ b/crates/lab/src/exchange.rs
@@ -35,6 +35,24 @@
     FrontFrozen { front: usize },
     /// It runs on.
     FrontThawed { front: usize },
+    /// A front process was told to stop.
+    FrontTerminated { front: usize },
+    /// A front process that was told to stop has ended by itself; that it is down follows.
+    FrontExited { front: usize },
+    /// A front process ended by itself though nobody had told it to.
+    FrontCrashed { front: usize, how: String },
+    /// A front process holds more than it may.
+    OverLimit { front: usize, what: String },
+    /// The list changes.
+    ListChanged { version: u64 },
+    /// The list was written to a front up to that version.
+    ListAt { front: usize, version: u64 },
+    /// Discovery is out of order for a front, or for all of them, from now on.
+    DiscoveryOff { front: Option<usize> },
+    /// It is in order again.
+    DiscoveryOn { front: Option<usize> },
+    /// A client sent what can't be used; how long until it got an answer or a close.
+    BadClient { front: usize, kind: &'static str, took: Option<Duration> },
     /// A list was written to a front's stream: servers that take no new work, and those that do with their
     /// incarnation.
     ListTold { front: usize, stopped: Vec<u64>, serving: Vec<(u64, u64)> },
@@ -63,6 +81,10 @@
     WireLate { front: usize, server: u64, entered: Duration },
     /// A server let a session go.
     SessionEnded { server: u64, sid: Arc<str> },
+    /// A server had no open connection for the release of a session.
+    ReleaseUnsent { server: u64, sid: Arc<str> },
+    /// A server wrote the release of a session on an open connection.
+    ReleaseWritten { server: u64, sid: Arc<str> },
     /// A viewer sends the first request of a session; `call` is never used twice.
     Called {
         call: u64,
@@ -79,6 +101,8 @@
     Stray { call: u64, sid: Arc<str> },
     /// A viewer of the platform is told that its session is over.
     Released { sid: Arc<str>, cause: i64 },
+    /// A session that stands was handed over to a front that has started anew.
+    HandedOver { sid: Arc<str>, front: usize },
     /// A viewer's session is over as far as it is concerned.
     ViewerOver { sid: Arc<str> },
 }
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -1,12 +1,15 @@
 //! Fronts as processes of their own: started, killed outright, stopped and continued.
 
+mod planned;
+mod settings;
+
 use crate::exchange::{Log, Seen};
 use crate::policies::PolicyName;
 use crate::script::Script;
 use crate::standin::{config as config_of, front_host, Discovery};
 use crate::wires::Wires;
 use cloverhollow_front::deeds_file;
-use rand::seq::SliceRandom;
+pub(crate) use planned::{MEMORY_MB, SOCKETS};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -117,8 +120,24 @@
     pub platform: Option<(Script, Arc<Discovery>)>,
 }
 
+/// How a front takes what clients send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It does not run.
+    Down,
+    /// It runs, and has not passed its test yet.
+    Starting,
+    /// It takes connections and requests.
+    Open,
+    /// It was told to stop, and new connections still come.
+    Stopping,
+    /// It was told to stop: requests come on connections that are open, and no new ones.
+    Closing,
+}
+
 struct Slot {
     child: Option<Child>,
+    phase: Phase,
     address: SocketAddr,
     /// Where it is asked, or was last.
     side: Option<SocketAddr>,
@@ -135,8 +154,15 @@
 impl Fronts {
     /// None runs yet.
     pub fn new(command: FrontCommand, log: Arc<Log>) -> Self {
-        let slot =
-            || Mutex::new(Slot { child: None, address: ([127, 0, 0, 1], 9).into(), side: None, starts: 0 });
+        let slot = || {
+            Mutex::new(Slot {
+                child: None,
+                phase: Phase::Down,
+                address: ([127, 0, 0, 1], 9).into(),
+                side: None,
+                starts: 0,
+            })
+        };
         Fronts { slots: (0..command.fronts).map(|_| slot()).collect(), command, log }
     }
 
@@ -158,52 +184,6 @@
         1 + (self.command.seed + front as u64 * 7_919 + starts * 104_729) % 1_000_000_007
     }
 
-    /// Its settings: the shared ones with its own name, seed, ports and files.
-    fn settings(&self, front: usize, starts: u64) -> serde_json::Value {
-        let c = &self.command;
-        let mut s = c.settings.clone();
-        let seed = self.seed(front, starts);
-        s["instance"] = serde_json::json!({ "name": format!("front-{front}"), "fronts": c.fronts, "number": front, "seed": seed });
-        let any = SocketAddr::from((c.host, 0)).to_string();
-        s["listen"]["address"] = any.as_str().into();
-        s["side"] = serde_json::json!({ "address": any });
-        s["discovery"]["address"] = c.discovery.to_string().into();
-        if let Some(wires) = &c.wires {
-            s["discovery"]["address"] = wires.discovery(front).to_string().into();
-        }
-        if let (Some(wires), true) = (&c.wires, c.members) {
-            let all =
-                |n: usize| (0..n.min(c.fronts)).map(|f| wires.member(f).to_string()).collect::<Vec<_>>();
-            let m = &mut s["members"];
-            m["listen"] = any.as_str().into();
-            m["address"] = wires.member(front).to_string().into();
-            m["seeds"] = all(SEEDS).into();
-            m["witnesses"] = all(WITNESSES).into();
-            m["keys"] = serde_json::json!([{ "id": 1, "file": c.dir.join(KEY) }]);
-        }
-        let file = keep_file(&c.dir, front);
-        if c.mode == StartMode::Cold {
-            let _ = std::fs::remove_file(&file);
-        }
-        if c.policy == PolicyName::Forgets {
-            forget(&file);
-        }
-        s["keep"]["file"] = serde_json::json!(file);
-        if c.mode == StartMode::Warm {
-            s["peers"]["addresses"] = self.seeds(front, seed).into();
-        }
-        s
-    }
-
-    /// Some peers' addresses, those that are gone among them: who starts does not know who runs.
-    fn seeds(&self, front: usize, seed: u64) -> Vec<String> {
-        let others = (0..self.count()).filter(|f| *f != front);
-        let mut all: Vec<_> = others.filter_map(|f| self.slot(f).side).map(|a| a.to_string()).collect();
-        all.shuffle(&mut crate::plan::stream(seed, "peers"));
-        all.truncate(SEEDS);
-        all
-    }
-
     /// Side addresses of all fronts that run.
     pub fn sides(&self) -> Vec<(usize, SocketAddr)> {
         let running = (0..self.count()).filter_map(|f| {
@@ -237,12 +217,12 @@
         if c.members {
             write_key(&c.dir.join(KEY)).map_err(io)?;
         }
-        let config = c.dir.join(format!("front-{front}.yaml"));
+        let config = self.config_path(front);
         let (word, text) = match &c.platform {
             None => ("front", self.settings(front, starts)),
             Some((script, discovery)) => {
                 let known = discovery.known(front, front_host(c.host, front));
-                let (seed, channel) = (self.seed(front, starts), discovery.address.port());
+                let (seed, channel) = (self.seed(front, starts), discovery.channel_port(front));
                 ("node", config_of(script, front, seed, c.host, channel, known))
             }
         };
@@ -272,6 +252,7 @@
         }
         let mut slot = self.slot(front);
         (slot.child, slot.address, slot.side) = (Some(child), address, parse("side"));
+        slot.phase = Phase::Starting;
         self.log.put(Seen::FrontUp { front });
         Ok(())
     }
@@ -280,6 +261,7 @@
     pub async fn kill(&self, front: usize) {
         // Another trouble was first: it is started again by that one.
         let child = self.slot(front).child.take();
+        self.slot(front).phase = Phase::Down;
         if child.is_none() {
             return;
         }
--- a/crates/lab/src/hunt/mod.rs
+++ b/crates/lab/src/hunt/mod.rs
@@ -31,6 +31,8 @@
     pub ranges: Ranges,
     /// Who decides, by its name on the command line.
     pub policy: String,
+    /// Whether the fronts are session managers of the platform.
+    pub platform: bool,
     /// Folder of results: `results.jsonl`, a YAML for each seed that broke a rule, and what failing days left.
     pub dir: PathBuf,
     /// The first seed.
@@ -139,6 +141,7 @@
 struct Player {
     exe: PathBuf,
     policy: String,
+    platform: bool,
 }
 
 impl Player {
@@ -150,6 +153,9 @@
         std::fs::write(&script, draw::yaml(day)).map_err(io(&script))?;
         let mut command = tokio::process::Command::new(&self.exe);
         command.arg("day").arg(&script).args(["--policy", &self.policy, "--json", "--log-level", "error"]);
+        if self.platform {
+            command.arg("--platform");
+        }
         command.arg("--host").arg(host(day).to_string());
         command.arg("--dir").arg(dir).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
         command.process_group(0);
@@ -259,7 +265,7 @@
 
     async fn one(&self, seed: u64) -> Result<Played, HuntError> {
         let day = self.ranges.draw(seed);
-        let player = Player { exe: self.exe.clone(), policy: self.policy.clone() };
+        let player = Player { exe: self.exe.clone(), policy: self.policy.clone(), platform: self.platform };
         let dir = self.dir.join(format!("day-{seed}"));
         let played = player.play(seed, &day, &dir).await?;
         if played.broke.is_empty() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`model`]: servers, links and racks without I/O; [`standin`]: the same over sockets, with discovery.
 //! - [`script`]: a day as a file of YAML; [`viewer`]: the viewers, drawn from the day's seed.
+//! - [`client`]: connections of the platform's clients, which carry many sessions.
 //! - [`day`]: plays a script against fronts that are processes of their own, and kills them where it says.
 //! - [`fleet`]: the same day with fronts that come back cold, with their last list, and warm.
 //! - [`exchange`]: what passed over the sockets; [`rules`]: the six rules checked from that alone;
@@ -12,7 +13,9 @@
 //! - [`bench`]: measures of a front as a process.
 //! - [`policies`]: baselines, and fronts broken on purpose, by which each checker is shown to fail.
 
+mod bad_clients;
 pub mod bench;
+pub mod client;
 pub mod day;
 pub mod exchange;
 pub mod fleet;
--- a/crates/lab/src/rules/answers.rs
+++ b/crates/lab/src/rules/answers.rs
@@ -3,9 +3,11 @@
 //! Over a death: a request that waits when its front dies breaks off with it; what the next life says to a new
 //! one counts by itself.
 //!
-//! Excused: a front that was killed or stood still while the request waited. Allowed: `GRACE`, for the way
-//! and for a machine that is busy.
+//! Excused: a front that was killed or stood still while the request waited; but no request that came to a front more
+//! than `TAKEN` after it was told to stop, nor one that a front left when it ended by itself. Allowed: `GRACE`, for the
+//! way and for a machine that is busy.
 
+use super::restarts::Restarts;
 use super::{Check, Outages, Verdict};
 use crate::exchange::{Exchange, Got, Seen};
 use std::collections::BTreeMap;
@@ -17,7 +19,7 @@
 
 pub(super) fn check(all: &[Exchange]) -> Verdict {
     let mut check = Check::new(1, "every request answered once, in time");
-    let outages = Outages::of(all);
+    let (outages, restarts) = (Outages::of(all), Restarts::of(all));
     let mut ends: BTreeMap<u64, Vec<(Duration, &Got)>> = BTreeMap::new();
     for e in all {
         if let Seen::CallEnded { call, got, .. } = &e.seen {
@@ -31,10 +33,15 @@
         let Seen::Called { call, sid, front, patience, .. } = &e.seen else { continue };
         check.case();
         let until = e.at + *patience + GRACE;
+        let ended = ends.get(call).map(Vec::as_slice).unwrap_or_default();
         if outages.touch(*front, e.at, until) {
+            if let ([(at, Got::Lost)], Some(why)) = (ended, restarts.owed(*front, e.at)) {
+                check.breach(e.at, || {
+                    format!("session {sid} at front-{front}: lost at {:.3} s, {why}", at.as_secs_f64())
+                });
+            }
             continue;
         }
-        let ended = ends.get(call).map(Vec::as_slice).unwrap_or_default();
         match ended {
             [(at, Got::Status { .. } | Got::HungUp)] if *at <= until => {}
             [(at, got)] => check.breach(e.at, || {
--- a/crates/lab/src/rules/ends.rs
+++ b/crates/lab/src/rules/ends.rs
@@ -1,8 +1,10 @@
 //! Rule 1, its other end: on the platform, a session that stood and is over is released towards its viewer.
 //!
-//! Within `TOLD` of its server's word where that could be given; a server that is gone says nothing, so within
-//! `UNTOLD` of its end then. Excused: a viewer that went by itself, a front that was killed or stood still
-//! meanwhile, and what ended too shortly before the log does. Allowed: `WAY`.
+//! Within `TOLD` of its server's word where that could be given; a server that is gone, or has no connection, says nothing,
+//! so within `UNTOLD` of its end then. What ended while its front was down is owed from its handing over on, within `UNTOLD`: its
+//! server's word comes on the next connection. Excused: a viewer that went by itself, a front that was killed or stood still
+//! meanwhile, a session whose server died while its front was down (nobody tells the next life), and what ended too
+//! shortly before the log does. Allowed: `WAY`.
 
 use super::{Check, Outages, Verdict};
 use crate::exchange::{Exchange, Got, Seen};
@@ -20,6 +22,8 @@
     /// It stands there for its viewer.
     stands: bool,
     server: u64,
+    /// Its server has let it go.
+    ended: bool,
 }
 
 pub(super) fn check(all: &[Exchange]) -> Verdict {
@@ -35,16 +39,38 @@
         match &e.seen {
             Seen::Called { sid, front, .. } => sessions.entry(sid).or_default().front = *front,
             Seen::SetupClosed { server, sid, status: Some(200) } => {
-                sessions.entry(sid).or_default().server = *server;
+                let session = sessions.entry(sid).or_default();
+                (session.server, session.ended) = (*server, false);
             }
             Seen::CallEnded { sid, got: Got::Status { status: 200, .. }, .. } => {
                 sessions.entry(sid).or_default().stands = true;
             }
-            Seen::SessionEnded { sid, .. } if sessions.get(sid).is_some_and(|s| s.stands) => {
-                owed.entry(sid).or_insert((e.at, e.at + TOLD + WAY));
+            Seen::SessionEnded { server, sid } => {
+                let Some(session) = sessions.get_mut(sid).filter(|s| s.server == *server) else { continue };
+                session.ended = true;
+                if session.stands {
+                    owed.entry(sid).or_insert((e.at, e.at + TOLD + WAY));
+                }
+            }
+            Seen::ReleaseUnsent { sid, .. } => {
+                if let Some((from, by)) = owed.get_mut(sid) {
+                    *by = *from + UNTOLD + WAY;
+                }
+            }
+            Seen::ReleaseWritten { sid, .. } => {
+                // It was written at least once; the first time counts.
+                if let Some((_, by)) = owed.get_mut(sid) {
+                    *by = (*by).min(e.at + TOLD + WAY);
+                }
+            }
+            Seen::HandedOver { sid, .. } => {
+                let session = sessions.entry(sid).or_default();
+                if session.stands && session.ended {
+                    owed.insert(sid, (e.at, e.at + UNTOLD + WAY));
+                }
             }
             Seen::ServerDown { server } => {
-                for (sid, _) in sessions.iter().filter(|(_, s)| s.stands && s.server == *server) {
+                for (sid, _) in sessions.iter().filter(|(_, s)| s.stands && !s.ended && s.server == *server) {
                     owed.entry(sid).or_insert((e.at, e.at + UNTOLD + WAY));
                 }
             }
--- a/crates/lab/src/rules/mod.rs
+++ b/crates/lab/src/rules/mod.rs
@@ -8,13 +8,18 @@
 mod drains;
 mod ends;
 mod left;
+mod processes;
 mod ration;
+mod restarts;
 mod setups;
 mod terms;
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
 mod tests_left;
+#[cfg(test)]
+mod tests_platform;
+mod told;
 
 use crate::exchange::{Exchange, Seen};
 use crate::script::Script;
@@ -26,7 +31,7 @@
 /// What a check found.
 #[derive(Clone, Debug, Serialize)]
 pub struct Verdict {
-    /// The rule, 1 to 6.
+    /// The rule, 1 to 6; 0: what a process owes beside them.
     pub rule: u8,
     /// In words.
     pub name: &'static str,
@@ -72,10 +77,10 @@
     ]
 }
 
-/// Checks all rules, and that ends are told, as the platform asks.
+/// Checks all rules, and what the platform asks besides: ends are told, the list is taken in, processes live on.
 pub fn check_platform(all: &[Exchange], script: &Script) -> Vec<Verdict> {
     let mut verdicts = check(all, script);
-    verdicts.push(ends::check(all));
+    verdicts.extend([ends::check(all), told::check(all), processes::check(all)]);
     verdicts
 }
 
--- a/crates/lab/src/standin/discovery.rs
+++ b/crates/lab/src/standin/discovery.rs
@@ -1,6 +1,8 @@
 //! The discovery service on a loopback socket: whole lists and patches as an event stream.
 
+use super::channel::Channels;
 use super::front_of;
+use super::patches::{Listed, Patch, State};
 use crate::exchange::{Log, Seen};
 use crate::wires::Wires;
 use bytes::Bytes;
@@ -22,39 +24,6 @@
 /// Most patches that a subscriber may be behind.
 const MOST_BEHIND: usize = 1_024;
 
-#[derive(Clone)]
-pub(super) struct Listed {
-    pub(super) entry: ServerEntry,
-    pub(super) started: Option<Duration>,
-}
-
-struct State {
-    version: u64,
-    servers: BTreeMap<u64, Listed>,
-    /// Patches to leave out, so that subscribers see a gap.
-    skip: u32,
-    /// All patches, for those who ask from a version on.
-    told: Vec<Patch>,
-}
-
-#[derive(Clone)]
-pub(super) struct Patch {
-    after: u64,
-    pub(super) version: u64,
-    pub(super) servers: Vec<Listed>,
-    pub(super) skipped: bool,
-}
-
-impl Patch {
-    /// Servers that take no new work, and those that do with their incarnation.
-    pub(super) fn states(&self) -> (Vec<u64>, Vec<(u64, u64)>) {
-        let of = |serving: bool| {
-            self.servers.iter().map(|l| &l.entry).filter(move |e| (e.state == WireState::Serving) == serving)
-        };
-        (of(false).map(|e| e.id).collect(), of(true).map(|e| (e.id, e.incarnation)).collect())
-    }
-}
-
 /// A stand-in discovery service.
 pub struct Discovery {
     /// Where it listens.
@@ -64,6 +33,8 @@
     up: watch::Sender<bool>,
     /// A new subscriber's first list comes so late.
     first_after: Mutex<Duration>,
+    /// The command channel of each front of the platform.
+    pub(super) channels: Channels,
     /// Ways to servers, where the day leads them over wires.
     wires: OnceLock<Arc<Wires>>,
     log: Arc<Log>,
@@ -82,10 +53,11 @@
             patches: broadcast::channel(MOST_BEHIND).0,
             up: watch::channel(true).0,
             first_after: Mutex::new(Duration::ZERO),
+            channels: Channels::default(),
             wires: OnceLock::new(),
             log,
         });
-        tokio::spawn(d.clone().run(listener, None));
+        tokio::spawn(d.clone().run(listener));
         Ok(d)
     }
 
@@ -96,15 +68,24 @@
     /// Takes a change in and tells it to all subscribers. `started`: when its process started, on the day's
     /// clock; `None`: long ago.
     pub fn publish(&self, entry: ServerEntry, started: Option<Duration>) {
+        self.publish_all(vec![(entry, started)]);
+    }
+
+    /// Takes changes in and tells them to all subscribers as one.
+    pub fn publish_all(&self, changes: Vec<(ServerEntry, Option<Duration>)>) {
         let mut state = self.state();
         let after = state.version;
         state.version += 1;
+        let version = state.version;
         let skipped = state.skip > 0;
         state.skip = state.skip.saturating_sub(1);
-        let listed = Listed { entry, started };
-        state.servers.insert(listed.entry.id, listed.clone());
-        let patch = Patch { after, version: state.version, servers: vec![listed], skipped };
+        let servers: Vec<_> = changes.into_iter().map(|(entry, started)| Listed { entry, started }).collect();
+        for listed in &servers {
+            state.servers.insert(listed.entry.id, listed.clone());
+        }
+        let patch = Patch { after, version, servers, skipped };
         state.told.push(patch.clone());
+        self.put(Seen::ListChanged { version });
         let _ = self.patches.send(patch); // nobody listens: the next whole list has it
     }
 
@@ -132,19 +113,6 @@
         self.log.put(seen);
     }
 
-    /// Listens for the fronts of the platform too: each reaches it at an address of its own.
-    ///
-    /// # Errors
-    /// It cannot listen.
-    pub async fn listen_for(self: &Arc<Self>, fronts: usize, host: Ipv4Addr) -> std::io::Result<()> {
-        for front in 0..fronts {
-            let own = super::front_host(host, front);
-            let listener = TcpListener::bind((own, self.address.port())).await?;
-            tokio::spawn(self.clone().run(listener, Some((front, own))));
-        }
-        Ok(())
-    }
-
     /// What the list says of a server.
     pub fn entry(&self, server: u64) -> Option<ServerEntry> {
         self.state().servers.get(&server).map(|l| l.entry.clone())
@@ -167,10 +135,15 @@
 
     /// Out of reach or back. Away, its streams are closed and connections are dropped at once.
     pub fn set_up(&self, up: bool) {
+        self.note(up);
         self.up.send_replace(up);
     }
 
-    async fn run(self: Arc<Self>, listener: TcpListener, own: Option<(usize, Ipv4Addr)>) {
+    pub(super) fn ups(&self) -> watch::Receiver<bool> {
+        self.up.subscribe()
+    }
+
+    async fn run(self: Arc<Self>, listener: TcpListener) {
         let mut up = self.up.subscribe();
         loop {
             let mut conns = JoinSet::new();
@@ -178,7 +151,7 @@
                 tokio::select! {
                     accepted = listener.accept() => {
                         if let Ok((stream, _)) = accepted {
-                            conns.spawn(self.clone().serve(stream, own));
+                            conns.spawn(self.clone().serve(stream));
                         }
                     }
                     _ = up.changed() => {}
@@ -195,12 +168,9 @@
         }
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream, own: Option<(usize, Ipv4Addr)>) {
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
         let mut conn: ServerConn = Framed::new(stream, ServerSide::new(Limits::default()));
         let Some(Ok(RequestFrame::Head(head))) = conn.next().await else { return };
-        if let Some((front, host)) = own {
-            return self.serve_channel(front, host, conn, head).await;
-        }
         let Ok(Some(_)) = read_body(&mut conn, 0).await else { return };
         let front = front_of(&head.headers);
         let mut out = ResponseHead::new(200, 0);
--- a/crates/lab/src/standin/lines.rs
+++ b/crates/lab/src/standin/lines.rs
@@ -1,8 +1,10 @@
 //! A video server that speaks the platform's JSON lines: the same model, the same troubles.
 
+use super::permille;
 use super::platform::front_host;
 use super::server::{bind_at, OpenSetup, Standing};
-use super::sides::Sides;
+use super::sides::{Say, Sides};
+use super::spoilt;
 use crate::exchange::Seen;
 use crate::model::SetupVerdict;
 use bytes::BytesMut;
@@ -19,6 +21,8 @@
 
 /// Most lines that wait to be written to one connection.
 const MOST_LINES: usize = 4_096;
+/// Into so many pieces lines are cut by a slow writer.
+const PIECES: usize = 3;
 
 impl Standing {
     /// One process's life for the fronts of the platform: each reaches it at an address of its own, by which it
@@ -54,17 +58,26 @@
             let side = all.entry(front).or_default();
             side.next += 1;
             side.conns.insert(side.next, out.clone());
-            std::mem::take(&mut side.owed).into_iter().for_each(|line| drop(out.try_send(line)));
+            std::mem::take(&mut side.owed).into_iter().for_each(|line| {
+                self.written(&line);
+                drop(out.try_send(Say::Line(line)));
+            });
             side.next
         };
+        sleep(Duration::from_millis(self.faults.read_late_ms.load(Relaxed))).await;
         // Set-ups open on it; what becomes of the sessions that stand is the process's.
         let mut open: BTreeMap<Arc<str>, tokio::task::AbortHandle> = BTreeMap::new();
         let mut setups = JoinSet::new();
         let mut buf = BytesMut::new();
         'conn: loop {
             tokio::select! {
-                Some(line) = lines_out.recv() => {
-                    if stream.write_all(&Line::encode(&line)).await.is_err() {
+                Some(say) = lines_out.recv() => {
+                    let bytes = match say {
+                        Say::Line(line) => line.encode(),
+                        Say::Bytes(bytes) => bytes,
+                        Say::Close => break,
+                    };
+                    if self.write(&mut stream, &bytes).await.is_err() {
                         break;
                     }
                 }
@@ -123,6 +136,32 @@
         }
     }
 
+    /// Writes whole or in pieces.
+    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+        let pause = Duration::from_millis(self.faults.pieces_ms.load(Relaxed));
+        if pause.is_zero() {
+            return stream.write_all(bytes).await;
+        }
+        for piece in bytes.chunks(bytes.len().div_ceil(PIECES).max(1)) {
+            stream.write_all(piece).await?;
+            sleep(pause).await;
+        }
+        Ok(())
+    }
+
+    /// The release of a session was written on an open connection.
+    fn written(&self, line: &Line) {
+        if line.verb == Verb::Finish {
+            let sid = line.tag.as_str().into();
+            self.world.log.put(Seen::ReleaseWritten { server: self.id, sid });
+        }
+    }
+
+    /// Whether the connection is to be closed behind what is said of that session.
+    fn closes_early(&self, sid: &str) -> bool {
+        permille(&format!("close {sid}")) < self.faults.close_early.load(Relaxed)
+    }
+
     fn let_go(&self, sid: &Arc<str>, front: usize, sides: &Sides) -> bool {
         sides.all().get_mut(&front).map(|s| s.standing.remove(sid));
         let held = self.world.fleet().servers.get_mut(&self.id).is_some_and(|s| s.end(sid));
@@ -148,11 +187,11 @@
         self: Arc<Self>,
         (front, conn, arrived): (usize, u64, Duration),
         line: Line,
-        out: mpsc::Sender<Line>,
+        out: mpsc::Sender<Say>,
         sides: Arc<Sides>,
     ) -> bool {
         let sid: Arc<str> = line.tag.as_str().into();
-        let finish = |cause| self.loaded(Line::finish(&sid, cause));
+        let finish = |cause| Say::Line(self.loaded(Line::finish(&sid, cause)));
         let Some((class, title)) = self.world.asked(&sid) else {
             let _ = out.send(finish(cause::ERROR)).await; // no viewer has sent it
             return true;
@@ -199,9 +238,17 @@
         self.runs().await;
         open.status = Some(200);
         drop(open);
+        self.world.stands(&sid, self.id);
         sides.all().entry(front).or_default().standing.insert(sid.clone(), conn);
         let started = Line { blob: line.blob.clone(), ..Line::new(Verb::Started, &sid) };
-        let _ = out.send(started).await;
+        for say in
+            spoilt::answer(started, permille(&format!("spoil {sid}")), self.faults.spoilt.load(Relaxed))
+        {
+            let _ = out.send(say).await;
+        }
+        if self.closes_early(&sid) {
+            let _ = out.send(Say::Close).await;
+        }
         // Some sessions come to their end here, the others by their viewers.
         let length = line.blob.as_deref().and_then(|b| b.split("len=").nth(1)?.trim().parse().ok());
         let end = length.map_or(self.world.idle, Duration::from_millis);
@@ -211,7 +258,15 @@
             self.runs().await;
             let stands = sides.all().get(&front).is_some_and(|s| s.standing.contains_key(&sid));
             if stands && self.let_go(&sid, front, &sides) {
-                sides.tell(front, conn, self.loaded(Line::finish(&sid, cause::DONE)));
+                let release = self.loaded(Line::finish(&sid, cause::DONE));
+                // The log has it before the front can.
+                let open = !sides.all().entry(front).or_default().conns.is_empty();
+                if open {
+                    self.written(&release);
+                } else {
+                    self.world.log.put(Seen::ReleaseUnsent { server: self.id, sid: sid.clone() });
+                }
+                sides.tell(front, conn, release, self.closes_early(&sid));
             }
         });
         true
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -1,14 +1,18 @@
 //! Stand-ins over sockets: video servers and the discovery service. They speak HTTP, CMCD and CMSD as any
 //! other server would, or the platform's JSON lines and command channel; what they do is the model's, what they do wrong the script's.
 
+mod channel;
 mod discovery;
+mod faults;
 mod lines;
+mod patches;
 mod platform;
 mod server;
 mod sides;
+mod spoilt;
 
 pub use discovery::Discovery;
-pub(crate) use platform::{config, front_host};
+pub(crate) use platform::{config, front_host, server_name};
 pub use server::{Faults, Mode, ServerHandle, World};
 
 use cloverhollow_http::Headers;
--- a/crates/lab/src/standin/platform.rs
+++ b/crates/lab/src/standin/platform.rs
@@ -1,7 +1,10 @@
 //! The platform round a front: its configuration, and the command channel as an event stream.
 
-use super::discovery::{Discovery, Patch};
+use super::channel::Stream;
+use super::discovery::Discovery;
+use super::patches::Patch;
 use crate::exchange::Seen;
+use crate::fronts::{MEMORY_MB, SOCKETS};
 use crate::script::Script;
 use bytes::Bytes;
 use cloverhollow_http::{Framing, RequestFrame, RequestHead, ResponseFrame, ResponseHead};
@@ -23,7 +26,7 @@
 }
 
 /// The name of a server on the platform.
-fn name(server: u64) -> String {
+pub(crate) fn server_name(server: u64) -> String {
     format!("s-{server:08x}")
 }
 
@@ -33,7 +36,7 @@
         WireState::Draining => "terminating",
         WireState::Gone => "terminated",
     };
-    json!({"name": name(e.id), "address": format!("{host}:{}", e.address.port()), "zone": e.hall, "type": e.kind,
+    json!({"name": server_name(e.id), "address": format!("{host}:{}", e.address.port()), "zone": e.hall, "type": e.kind,
         "group": e.cell, "status": status, "weight": e.weight, "since_ms": started.unwrap_or(0)})
 }
 
@@ -50,6 +53,7 @@
         let all = self.whole();
         let (stopped, serving) = all.states();
         self.put(Seen::ListTold { front, stopped, serving });
+        self.put(Seen::ListAt { front, version: all.version });
         let nodes = json!({"index": all.version, "snapshot": true, "endpoints": self.unix(&all, host)});
         json!({"cursor": all.version, "cmds": [{"cursor": all.version, "nodes": nodes}]})
     }
@@ -57,8 +61,7 @@
     /// `GET /cmd/next`: all events after the last one that the front names.
     pub(super) async fn serve_channel(
         self: Arc<Self>,
-        front: usize,
-        host: Ipv4Addr,
+        stream: Stream,
         mut conn: ServerConn,
         head: RequestHead,
     ) {
@@ -70,11 +73,14 @@
         if conn.send(ResponseFrame::Head(out)).await.is_err() {
             return;
         }
-        let mut patches = self.subscribe();
+        let (mut patches, disturbed) = (self.subscribe(), self.disturbed());
+        // One that has fallen silent stays so to its end.
+        let says_nothing = || stream.is_replaced() || disturbed.borrow().silent;
+        let mut silent = false;
         let mut version = last;
         for p in self.since(last) {
             version = p.version;
-            if self.event(&mut conn, front, host, &p).await.is_none() {
+            if self.event(&mut conn, &stream, &p).await.is_none() {
                 return;
             }
         }
@@ -82,16 +88,19 @@
             tokio::select! {
                 patch = patches.recv() => {
                     let Ok(p) = patch else { return };
-                    if p.version <= version || p.skipped {
+                    silent |= says_nothing();
+                    if p.version <= version || p.skipped || silent {
                         continue;
                     }
                     version = p.version;
-                    if self.event(&mut conn, front, host, &p).await.is_none() {
+                    if self.event(&mut conn, &stream, &p).await.is_none() {
                         return;
                     }
                 }
                 () = tokio::time::sleep(BEAT) => {
-                    if conn.send(ResponseFrame::Data(Bytes::from_static(b": beat\n\n"))).await.is_err() {
+                    silent |= says_nothing();
+                    let beat = ResponseFrame::Data(Bytes::from_static(b": beat\n\n"));
+                    if !silent && conn.send(beat).await.is_err() {
                         return;
                     }
                 }
@@ -101,7 +110,8 @@
     }
 
     /// In two pieces, as a network may cut it.
-    async fn event(&self, conn: &mut ServerConn, front: usize, host: Ipv4Addr, p: &Patch) -> Option<()> {
+    async fn event(&self, conn: &mut ServerConn, stream: &Stream, p: &Patch) -> Option<()> {
+        let (front, host) = (stream.front, stream.host);
         let nodes = json!({"index": p.version, "snapshot": false, "endpoints": self.unix(p, host)});
         let event = json!({"cursor": p.version, "nodes": nodes});
         let text = format!("id: {}\ndata: {event}\n\n", p.version);
@@ -111,6 +121,7 @@
         }
         let (stopped, serving) = p.states();
         self.put(Seen::ListTold { front, stopped, serving });
+        self.put(Seen::ListAt { front, version: p.version });
         Some(())
     }
 }
@@ -166,6 +177,6 @@
     });
     let own = front_host(host, front);
     json!({"name": format!("n{front}"), "listen": format!("{own}:0"), "seed": format!("{seed:x}"),
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "channel": format!("{own}:{channel}"),
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "channel": format!("{own}:{channel}"),
         "known": known, "settings": settings})
 }
--- a/crates/lab/src/standin/server.rs
+++ b/crates/lab/src/standin/server.rs
@@ -1,5 +1,6 @@
 //! A video server on a loopback socket.
 
+pub use super::faults::{Faults, Mode};
 use super::{front_of, permille};
 use crate::exchange::{Log, Seen};
 use crate::model::{Fleet, LoadTold, SetupVerdict};
@@ -15,7 +16,7 @@
 use futures_util::StreamExt;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -46,6 +47,8 @@
     pub fronts: usize,
     /// Class and title of each session that a viewer of the platform has asked for.
     pub asked: Mutex<HashMap<Arc<str>, (usize, String)>>,
+    /// The server at which each of them last came to stand.
+    pub stood: Mutex<HashMap<Arc<str>, u64>>,
 }
 
 impl World {
@@ -60,8 +63,19 @@
         asked.insert(sid.clone(), (class, title.to_owned()));
     }
 
+    /// A session has come to stand at a server.
+    pub(super) fn stands(&self, sid: &Arc<str>, server: u64) {
+        let mut stood = self.stood.lock().unwrap_or_else(PoisonError::into_inner);
+        stood.insert(sid.clone(), server);
+    }
+
+    /// The server at which a session came to stand.
+    pub(crate) fn stood_at(&self, sid: &str) -> Option<u64> {
+        self.stood.lock().unwrap_or_else(PoisonError::into_inner).get(sid).copied()
+    }
+
     /// Class and title of a session, if a viewer of the platform has asked for it.
-    pub(super) fn asked(&self, sid: &str) -> Option<(usize, String)> {
+    pub(crate) fn asked(&self, sid: &str) -> Option<(usize, String)> {
         self.asked.lock().unwrap_or_else(PoisonError::into_inner).get(sid).cloned()
     }
 
@@ -77,30 +91,6 @@
     }
 }
 
-/// How a server's process is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// It runs.
-    Up,
-    /// It stands still: connections are taken by its host, nothing is answered.
-    Frozen,
-    /// Its process is gone: connections are refused, those that were open are closed.
-    Down,
-}
-
-/// What it does wrong, as the script says.
-#[derive(Debug, Default)]
-pub struct Faults {
-    /// Set-ups in a thousand that run and fail.
-    pub errors: AtomicU32,
-    /// Set-ups in a thousand that run and whose connection is then reset.
-    pub resets: AtomicU32,
-    /// Set-ups take so much longer, ms.
-    pub late_ms: AtomicU64,
-    /// Load is told as it was so long ago, ms.
-    pub report_late_ms: AtomicU64,
-}
-
 /// A stand-in server that runs or not.
 pub struct ServerHandle {
     /// Its id.
@@ -470,6 +460,7 @@
             vary: 0.0,
             fronts: 0,
             asked: Mutex::default(),
+            stood: Mutex::default(),
         };
         let server = ServerHandle::start(101, Arc::new(world)).await.unwrap();
         // On this one thread the server's task has not run yet: it finds the change already made.
--- a/crates/lab/src/standin/sides.rs
+++ b/crates/lab/src/standin/sides.rs
@@ -1,6 +1,8 @@
-//! What each front has at a server of the platform, and the notes that it gets.
+//! What each front has at a server of the platform, and what it is told there: notes, releases.
 
+use super::permille;
 use super::server::Standing;
+use bytes::Bytes;
 use cloverhollow_platform::lines::{Line, Verb};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,11 +13,20 @@
 /// Time between notes of short delivery.
 const NOTE: Duration = Duration::from_secs(1);
 
+/// What is written on a connection.
+#[derive(Clone, Debug)]
+pub(super) enum Say {
+    Line(Line),
+    Bytes(Bytes),
+    /// It is closed behind what was written.
+    Close,
+}
+
 /// What one front has at one server: its connections, and the sessions that stand with the connection of each.
 #[derive(Default)]
 pub(super) struct Side {
     pub(super) next: u64,
-    pub(super) conns: BTreeMap<u64, mpsc::Sender<Line>>,
+    pub(super) conns: BTreeMap<u64, mpsc::Sender<Say>>,
     pub(super) standing: BTreeMap<Arc<str>, u64>,
     /// Releases that had no connection to go on.
     pub(super) owed: Vec<Line>,
@@ -30,16 +41,25 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A line about a session that stands: on its own connection, else any, else the next.
-    pub(super) fn tell(&self, front: usize, own: u64, line: Line) {
+    /// A line about a session that stands: on its own connection, else on any. A release that could not go on its own goes
+    /// on the next connection that is opened, too. Whether it was written on one that is open.
+    pub(super) fn tell(&self, front: usize, own: u64, line: Line, close_behind: bool) -> bool {
         let mut all = self.all();
         let side = all.entry(front).or_default();
-        let conn = side.conns.get(&own).or_else(|| side.conns.values().next());
-        match conn {
-            Some(conn) => drop(conn.try_send(line)),
-            None if line.verb == Verb::Finish => side.owed.push(line),
-            None => {}
+        let any = || {
+            let n = side.conns.len().max(1);
+            side.conns.values().nth(permille(&line.tag) as usize % n)
+        };
+        let at_home = side.conns.contains_key(&own);
+        let conn = side.conns.get(&own).or_else(any);
+        let written = conn.is_some_and(|conn| conn.try_send(Say::Line(line.clone())).is_ok());
+        if let Some(conn) = conn.filter(|_| close_behind) {
+            let _ = conn.try_send(Say::Close);
+        }
+        if line.verb == Verb::Finish && !(written && at_home) {
+            side.owed.push(line);
         }
+        written
     }
 }
 
@@ -76,7 +96,7 @@
                 for (name, value) in &notes {
                     let line =
                         Line::new(Verb::Notice, &sid).with("note", name).with("value", format!("{value:.3}"));
-                    sides.tell(front, conn, line);
+                    sides.tell(front, conn, line, false);
                 }
             }
         }
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -1,9 +1,13 @@
 //! Plays a script's troubles: each in a task of its own, begun and ended by the day's clock.
 
+mod kill_when;
+mod platform;
+
+use crate::client::Clients;
 use crate::exchange::{Log, Seen};
 use crate::fronts::Fronts;
 use crate::plan::stream;
-use crate::script::{Kind, Script, Trouble, When};
+use crate::script::{Kind, Script, Trouble};
 use crate::standin::{Discovery, Mode, ServerHandle, World};
 use crate::wires::{Effect, Fault, Wires};
 use cloverhollow_session::{ServerEntry, WireState};
@@ -30,6 +34,8 @@
     pub fronts: Arc<Fronts>,
     /// The wires, where the day has them.
     pub wires: Option<Arc<Wires>>,
+    /// The clients, where the fronts are the platform's.
+    pub clients: Option<Arc<Clients>>,
     /// The day's clock.
     pub log: Arc<Log>,
 }
@@ -157,6 +163,14 @@
                 self.until(end).await;
                 self.return_cold(&c.servers, c.notice).await;
             }
+            Kind::ListLeave => self.leave_list(&c, end).await,
+            Kind::BalancerTerm => self.restart_in_series(&c, end).await,
+            Kind::BalancerHup => self.reconfigure(&c, end).await,
+            Kind::DiscoverySilent | Kind::DiscoverySlow => self.disturb_discovery(&c, end).await,
+            Kind::SpoiltAnswers | Kind::Pieces | Kind::CloseEarly | Kind::LateConnections => {
+                self.disturb_lines(&c, end).await;
+            }
+            Kind::BadClients => self.send_bad_clients(&c, end).await,
             Kind::Slow | Kind::Neighbour | Kind::Ageing => self.weaken(&c, end).await,
             Kind::OriginSlow => {
                 let set = |factor: f64| {
@@ -275,32 +289,13 @@
         ((0..self.fronts.count()).filter(own).collect(), servers.collect())
     }
 
-    /// Kills each of the fronts the instant that the servers see it in the state, and starts it again later.
-    async fn kill_when(self: Arc<Self>, c: &Cast, end: Duration) {
-        let Some(when) = c.trouble.when else { return };
-        let paid: Vec<bool> = self.script.front.classes.0.iter().map(|class| class.paid).collect();
-        let (mut watch, mut waiting) = (Watch::new(when, paid), c.fronts.clone());
-        let mut lives = JoinSet::new();
-        while self.log.now() < end && !waiting.is_empty() {
-            for front in watch.look(&self.log) {
-                let Some(i) = waiting.iter().position(|f| *f == front) else { continue };
-                waiting.swap_remove(i);
-                let (me, gone) = (self.clone(), Duration::from_secs_f64(c.trouble.size.get()));
-                lives.spawn(async move {
-                    me.fronts.kill(front).await;
-                    sleep(gone).await;
-                    me.start(front).await;
-                });
-            }
-            sleep(Duration::from_millis(1)).await;
-        }
-        while lives.join_next().await.is_some() {}
-    }
-
     async fn start(&self, front: usize) {
         if let Err(e) = self.fronts.start(front).await {
             tracing::error!(error = %e, "front did not come back");
         }
+        if let Some(clients) = &self.clients {
+            clients.hand_over(front, &self.world).await;
+        }
     }
 
     fn each(&self, c: &Cast, set: impl Fn(&ServerHandle)) {
@@ -332,40 +327,6 @@
     }
 }
 
-/// Watches what passes for fronts that are in a state.
-struct Watch {
-    when: When,
-    paid: Vec<bool>,
-    seen: usize,
-    sids: BTreeSet<Arc<str>>,
-}
-
-impl Watch {
-    fn new(when: When, paid: Vec<bool>) -> Self {
-        Watch { when, paid, seen: 0, sids: BTreeSet::new() }
-    }
-
-    /// Fronts that came into the state since the last look.
-    fn look(&mut self, log: &Log) -> Vec<usize> {
-        let new = log.after(self.seen);
-        self.seen += new.len();
-        let mut found = Vec::new();
-        for e in new {
-            let Seen::SetupRead { front, sid, class, ran, .. } = e.seen else { continue };
-            let further = !self.sids.insert(sid);
-            let there = match self.when {
-                When::AttemptOut => true,
-                When::PaidOut => ran && self.paid.get(class).copied().unwrap_or(false),
-                When::Further => further,
-            };
-            if there {
-                found.push(front);
-            }
-        }
-        found
-    }
-}
-
 /// A server as discovery lists it.
 pub fn entry(s: &crate::model::Server, handle: &ServerHandle, state: WireState) -> ServerEntry {
     ServerEntry {
--- a/crates/lab/src/viewer.rs
+++ b/crates/lab/src/viewer.rs
@@ -1,5 +1,6 @@
 //! A viewer over a socket: calls, plays, comes again, and says when it is over.
 
+use crate::client::Clients;
 use crate::exchange::Log;
 use crate::fronts::Fronts;
 use crate::plan::Viewer;
@@ -26,8 +27,8 @@
     pub log: Arc<Log>,
     /// Worth and latencies.
     pub tally: Tally,
-    /// Where the fronts are the platform's: the servers' side, which knows what was asked for.
-    pub platform: Option<Arc<World>>,
+    /// Where the fronts are the platform's: the servers' side, which knows what was asked for, and the clients' connections.
+    pub platform: Option<(Arc<World>, Arc<Clients>)>,
     /// So much later than it is the fronts hear that a viewer has left.
     pub deaf: Duration,
     pub(crate) next_call: AtomicU64,
@@ -87,7 +88,7 @@
             let sid: Arc<str> = format!("s{}-{tries}", v.id).into();
             let tried = match &self.platform {
                 None => self.clone().session(&v, &sid, front).await,
-                Some(world) => self.session_by_rtsp(&v, tries, front, world).await,
+                Some((world, clients)) => self.session_by_rtsp(&v, tries, front, world, clients).await,
             };
             let after = match tried {
                 Try::Done => return,
--- a/crates/lab/src/viewer_rtsp.rs
+++ b/crates/lab/src/viewer_rtsp.rs
@@ -1,43 +1,40 @@
 //! A viewer of the platform: sets a session up over RTSP, and watches until it or its server ends it.
 
+use crate::client::{Clients, Request, Word};
 use crate::exchange::{Got, Seen};
 use crate::plan::Viewer;
 use crate::standin::World;
-use crate::viewer::{Audience, Try, CONNECT, LATE};
-use bytes::{Bytes, BytesMut};
+use crate::viewer::{Audience, Try, LATE};
+use bytes::Bytes;
+use cloverhollow_platform::lines::cause;
 use cloverhollow_platform::rtsp::{self, Message, Method, Start};
 use cloverhollow_settings::title_id;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// One viewer's connection.
-struct Conn {
-    stream: TcpStream,
-    buf: BytesMut,
-}
+/// A set-up that crosses the close of its connection within this is sent again, once.
+const CROSSED: Duration = Duration::from_millis(50);
+/// What is said to a viewer that goes is still read for so long.
+const LAST: Duration = Duration::from_millis(200);
 
-impl Conn {
-    /// The next message; `None`: the connection is of no more use. Cancel-safe: what was read stays.
-    async fn next(&mut self) -> Option<Message> {
-        loop {
-            match rtsp::decode(&mut self.buf) {
-                Ok(Some(message)) => return Some(message),
-                Ok(None) => {}
-                Err(_) => return None,
-            }
-            if !matches!(self.stream.read_buf(&mut self.buf).await, Ok(n) if n > 0) {
-                return None;
-            }
-        }
-    }
+/// What came of a set-up.
+enum Asked {
+    Answered(Message),
+    Broke,
+    TimeUp,
+    HungUp,
+}
 
-    async fn write(&mut self, bytes: Bytes) -> Option<()> {
-        self.stream.write_all(&bytes).await.ok()
-    }
+/// One try at a session.
+struct Attempt<'a> {
+    front: usize,
+    top: usize,
+    sid: Arc<str>,
+    call: u64,
+    clients: &'a Arc<Clients>,
 }
 
 impl Audience {
@@ -68,71 +65,101 @@
     }
 
     /// One try at a session; its id is never used again.
-    pub(crate) async fn session_by_rtsp(&self, v: &Viewer, tries: u32, front: usize, world: &World) -> Try {
+    pub(crate) async fn session_by_rtsp(
+        &self,
+        v: &Viewer,
+        tries: u32,
+        front: usize,
+        world: &World,
+        clients: &Arc<Clients>,
+    ) -> Try {
         let sid: Arc<str> = format!("{:016x}", (v.id as u64) << 16 | u64::from(tries)).into();
-        let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(self.fronts.address(front))).await else {
-            return Try::Lost;
-        };
-        let mut conn = Conn { stream, buf: BytesMut::new() };
+        let call = self.next_call.fetch_add(1, Relaxed);
+        let at = Attempt { front, top: v.top, sid: sid.clone(), call, clients };
+        let tried = self.try_session(v, tries, world, &at).await;
+        clients.forget(front, &sid);
+        tried
+    }
+
+    fn ended(&self, at: &Attempt<'_>, got: Got) {
+        self.log.put(Seen::CallEnded { call: at.call, sid: at.sid.clone(), got });
+    }
+
+    fn called(&self, v: &Viewer, at: &Attempt<'_>) {
+        let patience = self.script.front.classes.0[v.class].deadline_ms.get();
+        let (call, sid, front) = (at.call, at.sid.clone(), at.front);
+        let title = v.title.clone();
+        self.log.put(Seen::Called { call, sid, front, class: v.class, title, top: v.top, patience });
+    }
+
+    async fn try_session(&self, v: &Viewer, tries: u32, world: &World, at: &Attempt<'_>) -> Try {
         let class = &self.script.front.classes.0[v.class];
-        let (call, patience) = (self.next_call.fetch_add(1, Relaxed), class.deadline_ms.get());
-        let (title, begun) = (v.title.clone(), self.log.now());
-        world.ask(&sid, v.class, &v.title);
-        let called =
-            Seen::Called { call, sid: sid.clone(), front, class: v.class, title, top: v.top, patience };
-        self.log.put(called);
-        let ended = |got| self.log.put(Seen::CallEnded { call, sid: sid.clone(), got });
-        let (setup, blob) = self.setup(v, &sid, tries);
+        let begun = self.log.now();
+        world.ask(&at.sid, v.class, &v.title);
+        let (setup, blob) = self.setup(v, &at.sid, tries);
         // As one sees it whom the front hears late: it has left when its request is taken, and the front does not know.
         if let (Some(stays), false) = (v.hang_up, self.deaf.is_zero()) {
+            self.called(v, at);
             sleep(stays).await;
-            ended(Got::HungUp);
-            self.log.put(Seen::ViewerOver { sid: sid.clone() });
+            self.ended(at, Got::HungUp);
+            self.log.put(Seen::ViewerOver { sid: at.sid.clone() });
             sleep(self.deaf).await;
-            conn.write(setup).await;
+            let begun = at.clients.begin(self.set_up_request(at, setup, true), || {}).await;
             sleep(self.deaf).await;
+            if let Some((conn, _)) = begun {
+                at.clients.close(at.front, conn);
+            }
             return Try::Done;
         }
-        if conn.write(setup).await.is_none() {
-            ended(Got::Lost);
+        // One that hangs up without a word closes its connection, which is its own then.
+        let silent = v.hang_up.is_some() && !v.id.is_multiple_of(3);
+        let request = self.set_up_request(at, setup.clone(), silent);
+        let Some((mut conn, mut words)) = at.clients.begin(request, || self.called(v, at)).await else {
             return Try::Lost;
+        };
+        let mut asked = self.await_answer(v, &mut words).await;
+        if matches!(asked, Asked::Broke) && self.log.now() < begun + CROSSED {
+            if let Some(again) = at.clients.begin(self.set_up_request(at, setup, silent), || {}).await {
+                (conn, words) = again;
+                asked = self.await_answer(v, &mut words).await;
+            }
         }
-        let hang_up = v.hang_up.unwrap_or(patience + Duration::from_secs(60));
-        let answer = tokio::select! {
-            got = timeout(patience + LATE, conn.next()) => match got {
-                Ok(Some(answer)) => answer,
-                Ok(None) => {
-                    ended(Got::Lost);
-                    return Try::Lost;
-                }
-                Err(_) => {
-                    ended(Got::TimeUp);
-                    return Try::Again(Duration::ZERO);
-                }
-            },
-            () = sleep(hang_up) => {
-                ended(Got::HungUp);
-                self.log.put(Seen::ViewerOver { sid: sid.clone() });
-                // Some say so, others just close.
-                if v.id.is_multiple_of(3) {
-                    conn.write(rtsp::request(Method::Teardown, "rtsp://media/x", "2", &sid, &[])).await;
+        let answer = match asked {
+            Asked::Answered(answer) => answer,
+            Asked::Broke => {
+                self.ended(at, Got::Lost);
+                return Try::Lost;
+            }
+            Asked::TimeUp => {
+                self.ended(at, Got::TimeUp);
+                return Try::Again(Duration::ZERO);
+            }
+            Asked::HungUp => {
+                self.ended(at, Got::HungUp);
+                self.log.put(Seen::ViewerOver { sid: at.sid.clone() });
+                if silent {
+                    at.clients.close(at.front, conn);
+                } else {
+                    at.clients.tear_down(at.front, &at.sid, None).await;
                 }
                 return Try::Done;
             }
         };
         let Start::Response { status } = answer.start else {
-            ended(Got::Lost);
+            self.ended(at, Got::Lost);
             return Try::Lost;
         };
-        let ours = answer.header("Session") == Some(&*sid) && answer.header("CSeq") == Some("1");
         let wait = answer
             .header("Retry-After-Ms")
             .and_then(|w| w.parse().ok())
             .map_or(Duration::ZERO, Duration::from_millis);
-        // An answer for another session, or with what no server gave for this one, is none.
-        let good = ours && (status != 200 || answer.body == blob.as_bytes());
+        // An answer with what no server gave for this session is none.
+        let good = status != 200 || answer.body == blob.as_bytes();
         let waited = self.log.now() - begun;
-        ended(if good { Got::Status { status, reason: None } } else { Got::Lost });
+        if status == 200 {
+            at.clients.stands(at.front, &at.sid);
+        }
+        self.ended(at, if good { Got::Status { status, reason: None } } else { Got::Lost });
         self.tally.answered(status, waited);
         match status {
             200 => {}
@@ -140,46 +167,53 @@
             _ => return Try::Again(wait),
         }
         self.tally.playing(v, waited);
-        self.watch(v, call, &sid, &mut conn).await
+        self.watch(v, at, &mut words).await
     }
 
-    async fn watch(&self, v: &Viewer, call: u64, sid: &Arc<str>, conn: &mut Conn) -> Try {
+    fn set_up_request<'a>(&self, at: &'a Attempt<'_>, bytes: Bytes, alone: bool) -> Request<'a> {
+        Request { front: at.front, sid: &at.sid, call: at.call, top: at.top, bytes, alone }
+    }
+
+    async fn await_answer(&self, v: &Viewer, words: &mut UnboundedReceiver<Word>) -> Asked {
+        let patience = self.script.front.classes.0[v.class].deadline_ms.get();
+        let hang_up = v.hang_up.unwrap_or(patience + Duration::from_secs(60));
+        tokio::select! {
+            got = timeout(patience + LATE, words.recv()) => match got {
+                Ok(Some(Word::Message(answer))) => Asked::Answered(answer),
+                Ok(_) => Asked::Broke,
+                Err(_) => Asked::TimeUp,
+            },
+            () = sleep(hang_up) => Asked::HungUp,
+        }
+    }
+
+    async fn watch(&self, v: &Viewer, at: &Attempt<'_>, words: &mut UnboundedReceiver<Word>) -> Try {
         // One that its server ends waits for that; the other leaves by itself.
         let own = if v.id.is_multiple_of(2) { self.script.length_ms.get() } else { v.length };
         let until = Instant::now() + own;
         loop {
-            let message = tokio::select! {
-                message = conn.next() => message,
+            let word = tokio::select! {
+                word = words.recv() => word,
                 () = sleep_until(until) => {
-                    self.log.put(Seen::ViewerOver { sid: sid.clone() });
-                    let reason = [("Reason", "cause=31".to_owned())];
-                    conn.write(rtsp::request(Method::Teardown, "rtsp://media/x", "2", sid, &reason)).await;
-                    // What is said to it meanwhile is read: a close with unread bytes would reset the word.
-                    let _ = timeout(CONNECT, conn.next()).await;
+                    self.log.put(Seen::ViewerOver { sid: at.sid.clone() });
+                    at.clients.tear_down(at.front, &at.sid, Some(cause::CANCELLED)).await;
+                    sleep(LAST).await;
                     return Try::Done;
                 }
             };
-            let Some(message) = message else {
-                self.log.put(Seen::ViewerOver { sid: sid.clone() });
-                self.tally.broke();
-                return Try::Again(Duration::ZERO);
-            };
-            match message.start {
-                Start::Request { method: Method::Teardown, .. }
-                    if message.header("Session") == Some(&**sid) =>
-                {
-                    let reason = message.header("Reason").and_then(|r| r.strip_prefix("cause="));
-                    let cause = reason.and_then(|c| c.parse().ok()).unwrap_or(0);
-                    self.log.put(Seen::Released { sid: sid.clone(), cause });
-                    if cause == cloverhollow_platform::lines::cause::DONE {
-                        return Try::Done;
-                    }
-                    self.tally.broke();
-                    return Try::Again(Duration::ZERO);
-                }
-                Start::Response { .. } => self.log.put(Seen::Stray { call, sid: sid.clone() }),
-                Start::Request { .. } => {}
+            // Its connection may end; the session does not.
+            let Some(Word::Message(message)) = word else { continue };
+            if !matches!(message.start, Start::Request { method: Method::Teardown, .. }) {
+                continue;
+            }
+            let reason = message.header("Reason").and_then(|r| r.strip_prefix("cause="));
+            let told = reason.and_then(|c| c.parse().ok()).unwrap_or(0);
+            self.log.put(Seen::Released { sid: at.sid.clone(), cause: told });
+            if told == cause::DONE {
+                return Try::Done;
             }
+            self.tally.broke();
+            return Try::Again(Duration::ZERO);
         }
     }
 }
