A second copy of an answer in one piece with the first does not end its session

Lines about a session are now read after the step that makes it stand, answers included, as releases and notes were.

--- a/crates/cli/tests/node_identity.rs
+++ b/crates/cli/tests/node_identity.rs
@@ -383,3 +383,18 @@
     settle(&mut older);
     settle(&mut newer);
 }
+
+/// Both copies of an answer come in one piece: the second is read before the session is known to stand.
+#[test]
+fn a_second_answer_in_one_piece_with_the_first_ends_no_session() {
+    let listed = Listed::new("copy");
+    let mut viewer = listed.node.connect();
+    viewer.write_all(setup(0xf1, "clip", 2_000).as_bytes()).unwrap();
+    let mut link = listed.server.accept();
+    assert_eq!(link.start(), Some(tag(0xf1)));
+    let answer = json!({"verb": "STARTED", "tag": tag(0xf1), "opts": {}, "blob": "v=0 answer"});
+    link.stream.write_all(format!("{answer}\n{answer}\n").as_bytes()).unwrap();
+    assert!(message(&mut viewer).0.starts_with("RTSP/1.0 200 "));
+    assert_eq!(settle(&mut link), [] as [Value; 0], "no word against what stands");
+    assert_plays_on(&mut viewer, "after the copy");
+}
--- a/crates/node/src/desk/lines.rs
+++ b/crates/node/src/desk/lines.rs
@@ -27,8 +27,9 @@
             return dropped(id, None, &line, DropReason::UnknownLink);
         };
         tracing::debug!(link = id.0, server = heard.server, ?line, "heard");
-        if !heard.own && matches!(line.verb, Verb::Finish | Verb::Notice) {
-            // What it says of a session may follow right behind the word that the session stands.
+        if !heard.own && matches!(line.verb, Verb::Started | Verb::Finish | Verb::Notice) {
+            // What it says of a session may follow right behind the word that the session stands: a release, or a second copy
+            // of the answer, which would be taken for one that nobody waits for.
             self.step();
         }
         if let Some(server) = self.stands_with(&heard, &line.tag).filter(|server| *server != heard.server) {
