What comes long after SIGTERM is refused at once, and idle connections close before the kill

Cause: the desk went on as before to its end, up to a hung server's whole time for each request, and kept idle connections open into the kill. Now set-ups are refused 0.7 s after SIGTERM, connections without an open set-up are closed 0.1 s before the earliest kill (the longest deadline, 3 s at most, and 0.7 s): what crosses that is sent again. The process ends as before.

--- a/crates/lab/src/client/mod.rs
+++ b/crates/lab/src/client/mod.rs
@@ -76,6 +76,8 @@
     pub(crate) bytes: Bytes,
     /// On a connection of its own, which is closed with it.
     pub(crate) alone: bool,
+    /// It crossed the close of its connection, and goes on a new one.
+    pub(crate) again: bool,
 }
 
 /// All clients' connections.
@@ -119,11 +121,11 @@
         sent: impl FnOnce(),
     ) -> Option<(u64, mpsc::UnboundedReceiver<Word>)> {
         let phase = self.fronts.phase(request.front);
-        let open = if request.alone { None } else { self.shared(request.front) };
+        let open = if request.alone || request.again { None } else { self.shared(request.front) };
         let conn = match (open, phase) {
             (_, Phase::Down) => return None,
             (Some(conn), _) => conn,
-            (None, Phase::Closing) => return None,
+            (None, Phase::Closing) if !request.again => return None,
             (None, _) => self.connect(request.front, !request.alone).await?,
         };
         let (to, words) = mpsc::unbounded_channel();
--- a/crates/lab/src/viewer_rtsp.rs
+++ b/crates/lab/src/viewer_rtsp.rs
@@ -119,8 +119,9 @@
         };
         let mut asked = self.await_answer(v, &mut words).await;
         if matches!(asked, Asked::Broke) && self.log.now() < begun + CROSSED {
-            if let Some(again) = at.clients.begin(self.set_up_request(at, setup, silent), || {}).await {
-                (conn, words) = again;
+            let again = Request { again: true, ..self.set_up_request(at, setup, silent) };
+            if let Some(begun) = at.clients.begin(again, || {}).await {
+                (conn, words) = begun;
                 asked = self.await_answer(v, &mut words).await;
             }
         }
@@ -171,7 +172,7 @@
     }
 
     fn set_up_request<'a>(&self, at: &'a Attempt<'_>, bytes: Bytes, alone: bool) -> Request<'a> {
-        Request { front: at.front, sid: &at.sid, call: at.call, top: at.top, bytes, alone }
+        Request { front: at.front, sid: &at.sid, call: at.call, top: at.top, bytes, alone, again: false }
     }
 
     async fn await_answer(&self, v: &Viewer, words: &mut UnboundedReceiver<Word>) -> Asked {
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -10,6 +10,8 @@
 mod servers;
 mod viewers;
 
+pub(crate) use end::Stop;
+
 use crate::channel::From;
 use crate::gossip::GossipSocket;
 use crate::links::{Ended, Heard, Links, Outgoing};
@@ -56,6 +58,8 @@
     pub(crate) open: usize,
     /// Set-ups open at a time on one connection.
     pub(crate) open_on_one: usize,
+    /// What follows SIGTERM.
+    pub(crate) stop: Stop,
 }
 
 /// What the desk is told by.
@@ -83,6 +87,7 @@
     next_viewer: u64,
     inputs: Vec<In>,
     terminating: Option<Duration>,
+    closed_before_kill: bool,
     /// Until then sessions are handed over that an earlier life set up.
     handed_over: Duration,
     looked: Duration,
@@ -117,15 +122,16 @@
             next_viewer: 0,
             inputs: Vec::new(),
             terminating: None,
+            closed_before_kill: false,
             handed_over: Duration::MAX,
             looked: Duration::ZERO,
             gossip: None,
         }
     }
 
-    /// Runs until the process is to end and owes nothing more, `grace` after it was told. What is queued for viewers
-    /// then is still written by their connections' tasks.
-    pub(crate) async fn run(mut self, mut mails: mpsc::Receiver<Mail>, grace: Duration) {
+    /// Runs until the process is to end and owes nothing more. What is queued for viewers then is still written by their
+    /// connections' tasks.
+    pub(crate) async fn run(mut self, mut mails: mpsc::Receiver<Mail>) {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
             let now = self.clock.now();
@@ -150,8 +156,11 @@
                 tokio::task::yield_now().await;
             }
             self.decide();
-            let over = self.terminating.is_some_and(|t| now >= t + grace);
-            if over && self.standing.open() == 0 && mails.is_empty() && self.rung.is_empty() {
+            if self.stopping(|stop| stop.end)
+                && self.standing.open() == 0
+                && mails.is_empty()
+                && self.rung.is_empty()
+            {
                 return self.end().await;
             }
         }
--- a/crates/node/src/desk/news/tests.rs
+++ b/crates/node/src/desk/news/tests.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 /// Only a guard.
+const STOP: Stop = Stop { refuse: LONG, close: LONG, end: LONG };
 const LONG: Duration = Duration::from_secs(5);
 
 const SID: &str = "9b1f03aa5c7e2d41";
@@ -34,7 +35,7 @@
         let address = listener.local_addr().unwrap();
         let core = Core::new(Brain::new(site.settings.clone(), 7), site.terms(), 7);
         let watch = Watch::new(site.settings.told_every, site.idle_close, 8);
-        let bounds = Bounds { conns: 8, open: 8, open_on_one: 8 };
+        let bounds = Bounds { conns: 8, open: 8, open_on_one: 8, stop: STOP };
         let post = Post { mail, rung: mpsc::channel(8).1 };
         let (from, _) = watch::channel(From { address, cursor: 0, useless: 0 });
         let desk = Desk::new(core, Clock::start(), Arc::new(site), watch, bounds, from, post);
--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -42,6 +42,7 @@
     }
 
     pub(super) fn look(&mut self) {
+        self.close_before_kill();
         let now = self.clock.now();
         if let Some(gossip) = &mut self.gossip {
             gossip.tell(now);
--- a/crates/node/src/desk/tests.rs
+++ b/crates/node/src/desk/tests.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
+const STOP: Stop = Stop { refuse: LONG, close: LONG, end: LONG };
 const LONG: Duration = Duration::from_secs(20);
 
 struct Rig {
@@ -129,7 +130,7 @@
     Came::Message(rtsp::decode(&mut BytesMut::from(&*text)).unwrap().unwrap())
 }
 
-const BOUNDS: Bounds = Bounds { conns: 2, open: 8, open_on_one: 8 };
+const BOUNDS: Bounds = Bounds { conns: 2, open: 8, open_on_one: 8, stop: STOP };
 
 /// The close is known at the gate alone: the set-up counts as never run, and no further attempt follows.
 #[tokio::test]
--- a/crates/node/src/desk/viewers.rs
+++ b/crates/node/src/desk/viewers.rs
@@ -10,6 +10,8 @@
     Closed,
     /// Its place was wanted.
     Evicted,
+    /// The process is about to end.
+    Stopping,
     /// Too much waits to be written to it.
     ReadsTooSlowly,
     /// What came on it can't be used, and it can't be told to close behind the answer.
@@ -201,8 +203,9 @@
         }
         let full = self.standing.open() >= self.bounds.open
             || self.standing.open_on(conn) >= self.bounds.open_on_one;
-        if full {
-            tracing::info!(session = %sid, conn = conn.0, "refused: too many set-ups are open");
+        let stopping = self.stopping(|stop| stop.refuse);
+        if full || stopping {
+            tracing::info!(session = %sid, conn = conn.0, full, stopping, "refused at once");
             let refusal = viewer::refusal(&sid, self.site.settings.limits.hold_off);
             self.write(conn, refusal);
             return Ok(());
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,7 +1,7 @@
 //! A session manager as a process: its configuration, its sockets, its signals.
 
 use crate::channel::{self, From};
-use crate::desk::{Bounds, Desk, Post};
+use crate::desk::{Bounds, Desk, Post, Stop};
 use crate::gossip::GossipSocket;
 use crate::listen;
 use crate::mail::{Mail, MOST_MAILS};
@@ -51,11 +51,6 @@
     config::read(&text).map_err(|source| NodeError::Config { file: name, source })
 }
 
-/// What the process goes on for after it was told to end, past the longest time that a viewer waits.
-const GRACE: Duration = Duration::from_millis(700);
-/// And that time at the least.
-const LONGEST: Duration = Duration::from_secs(3);
-
 /// Longest that the process waits at its end for what is queued for viewers to be written.
 const LAST: Duration = Duration::from_secs(1);
 
@@ -85,12 +80,13 @@
     let clock = Clock::start();
     // By the wall clock all session managers reckon their turns alike.
     let ahead = Duration::from_millis(unix_ms()).saturating_sub(clock.now());
-    let longest = site.deadlines.iter().copied().max().unwrap_or_default().max(LONGEST);
+    let stop = Stop::new(site.deadlines.iter().copied().max().unwrap_or_default());
     let settings = site.settings.clone();
     let core = Core::new(Brain::new(settings.clone(), seed), site.terms(), seed);
     // A server where sessions stand sends a link note on one of them each `told_every`.
     let watch = Watch::new(settings.told_every, site.idle_close, room.sockets / 8);
-    let bounds = Bounds { conns: room.sockets / 2, open: room.sockets / 4, open_on_one: room.sockets / 8 };
+    let bounds =
+        Bounds { conns: room.sockets / 2, open: room.sockets / 4, open_on_one: room.sockets / 8, stop };
     let mut desk =
         Desk::new(core, clock, Arc::new(site), watch, bounds, from, Post { mail: mail.clone(), rung });
     if let Some(listen) = peer_listen {
@@ -109,7 +105,7 @@
     let places = Arc::new(Semaphore::new(most));
     tokio::spawn(listen::accept(listener, places.clone(), mail.clone(), Bell::new(bell)));
     tokio::spawn(signals(term, int, hup, file, mail));
-    desk.run(mails, longest + GRACE).await;
+    desk.run(mails).await;
     // The last answers are queued by now: their connections' tasks write them. One place is the next connection's.
     let _ = timeout(LAST, places.acquire_many(most as u32 - 1)).await;
     tracing::info!(name, "session manager ends");
