Sessions handed over in the step that brings their server are not cut

Cause: the desk looked at connections before the core had taken the list in: a server of the list had no address, which counts as gone. Evidence: the log of the hanging run ('a video server has cut its sessions', 200, before the first step); the test of that step was red. The list is now taken in first.

--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -145,17 +145,7 @@
             for mail in batch.drain(..) {
                 self.take(mail);
             }
-            let now = self.clock.now();
-            if now >= self.looked + LOOK {
-                self.looked = now;
-                self.look();
-            }
-            let wrote = self.take_inputs();
-            if wrote {
-                // The tasks of the connections write the answers now: none waits for what is decided next.
-                tokio::task::yield_now().await;
-            }
-            self.decide();
+            self.turn().await;
             if self.stopping(|stop| stop.end)
                 && self.standing.open() == 0
                 && mails.is_empty()
@@ -166,6 +156,22 @@
         }
     }
 
+    /// One step, and what is due with connections.
+    async fn turn(&mut self) {
+        let wrote = self.take_inputs();
+        if wrote {
+            // The tasks of the connections write the answers now: none waits for what is decided next.
+            tokio::task::yield_now().await;
+        }
+        // What the list says is taken in by now: a server that it names has an address.
+        let now = self.clock.now();
+        if now >= self.looked + LOOK {
+            self.looked = now;
+            self.look();
+        }
+        self.decide();
+    }
+
     /// Steps until what is answered at once (recalls) is used up.
     fn step(&mut self) {
         self.take_inputs();
--- a/crates/node/src/desk/tests.rs
+++ b/crates/node/src/desk/tests.rs
@@ -196,3 +196,25 @@
     assert!(third.written.try_recv().is_err());
     drop((first, second));
 }
+
+/// The list and a session at a server of it come in one step in which connections are looked at: the server has an address.
+#[tokio::test]
+async fn a_session_handed_over_in_the_step_that_brings_its_server_is_not_cut() {
+    let mut rig = Rig::new(BOUNDS).await;
+    let open = rig.open(1).await;
+    let address = rig.servers[0].local_addr().unwrap();
+    let event = format!(
+        r#"{{"cursor":2,"nodes":{{"snapshot":false,"endpoints":[{{"name":"s-new","address":"127.0.0.1:{}","status":"in_service"}}]}}}}"#,
+        address.port()
+    );
+    rig.desk.told(1, Directory::read(&event).unwrap());
+    let text =
+        "SETUP rtsp://media/7f RTSP/1.0\r\nCSeq: 1\r\nSession: 00000000000000a1\r\nX-Service: clip\r\n\
+                X-Setup-Ms: 4000000\r\nX-Route: home:0;copies:9;top:1;at:s-new\r\nContent-Length: 0\r\n\r\n";
+    open.viewer.put(Came::Message(rtsp::decode(&mut BytesMut::from(text)).unwrap().unwrap()));
+    rig.desk.take_from(ConnId(1));
+    rig.desk.looked = Duration::ZERO;
+    tokio::time::sleep(LOOK).await;
+    rig.desk.turn().await;
+    assert!(rig.desk.standing.is_held("00000000000000a1"), "it stands");
+}
