Tests: a stand-in waits for a connection as long as for anything else, not for ever

A test that hung (the cut at a start) held its whole run up. Server::accept and Channel::accept now end with a panic after the time that all other waits have.

--- a/crates/cli/tests/platform/standins.rs
+++ b/crates/cli/tests/platform/standins.rs
@@ -18,8 +18,7 @@
 
     /// The next connection.
     pub fn accept(&self) -> Link {
-        let stream = patient(self.0.accept().unwrap().0);
-        Link { lines: BufReader::new(stream.try_clone().unwrap()), stream }
+        until("a connection to the server", || self.accept_now())
     }
 
     /// A connection if one waits.
@@ -99,7 +98,10 @@
 
     /// The next that asks: its connection, nothing said on it yet, and the last event that it names.
     pub fn accept(&self) -> (TcpStream, u64) {
-        let mut stream = patient(self.0.accept().unwrap().0);
+        self.0.set_nonblocking(true).unwrap();
+        let accepted = until("a call to the channel", || self.0.accept().ok());
+        let mut stream = patient(accepted.0);
+        stream.set_nonblocking(false).unwrap();
         let head = head(&mut stream).to_lowercase();
         assert!(head.starts_with("get /cmd/next "), "{head}");
         let last = head.lines().find_map(|l| l.strip_prefix("last-event-id: ")).unwrap().parse().unwrap();
