A connection closed here while sessions stand is read on for ten seconds

Cause: an older connection is closed 2 s after its set-up and was read for 1 s more; a server that hangs hears of the close only when it goes on, and writes there first. Evidence: traces (release written, dropped by nobody, never read); the forced test was red. Connections that are closed as idle, or because their process was replaced, are read until the server closes them too, 10 s at most; others for 1 s as before. Result: green.

--- a/crates/cli/tests/node_identity.rs
+++ b/crates/cli/tests/node_identity.rs
@@ -398,3 +398,20 @@
     assert_eq!(settle(&mut link), [] as [Value; 0], "no word against what stands");
     assert_plays_on(&mut viewer, "after the copy");
 }
+
+/// A connection is closed while its server hangs: when that goes on, it writes the release there before it hears of the close.
+#[test]
+fn a_release_that_a_hung_server_writes_on_a_connection_closed_meanwhile_reaches_the_viewer() {
+    let listed = Listed::new("hung");
+    let (mut viewer, mut older) = listed.stand_on_new(0xf3);
+    let mut held = listed.node.connect();
+    held.write_all(setup(0xf4, "clip", 2_000).as_bytes()).unwrap();
+    assert_eq!(older.start(), Some(tag(0xf4)));
+    let (_second, _newer) = listed.stand_on_new(0xf5);
+    older.started(&tag(0xf4));
+    // The newer one is kept for both sessions, the older one goes; the server does not notice for a while.
+    until("the older connection is closed", || older.line().is_none().then_some(()));
+    std::thread::sleep(Duration::from_millis(2_500));
+    older.finish(&tag(0xf3), 16);
+    assert_released(&mut viewer, 0xf3, "after the server went on");
+}
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -22,10 +22,6 @@
 /// A video server that takes nothing of what is written for so long is taken for gone.
 const WRITE: Duration = Duration::from_secs(2);
 
-/// A connection that is closed here is read on for so long. Guards what the video server wrote before it heard of the
-/// close: a release of a session would be lost, and its client never told.
-const LINGER: Duration = Duration::from_secs(1);
-
 /// Most that is read of a connection after it broke.
 const MOST_LEFT: usize = 256 * 1024;
 
@@ -145,8 +141,8 @@
                 let now = Instant::now();
                 lately.writes(now, out.get_ref());
                 by = now + WRITE;
-                if close {
-                    closed = Some(Instant::now() + LINGER);
+                if let Some(linger) = close {
+                    closed = Some(Instant::now() + linger);
                     if !out.has_remaining() && writer.shutdown().await.is_err() {
                         return End::Broke;
                     }
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -20,7 +20,7 @@
 #[tokio::test]
 async fn what_comes_while_it_closes_is_read() {
     let (mut server, hold, mut mails) = up().await;
-    assert!(hold.close());
+    assert!(hold.close(Duration::from_secs(1)));
     // Its close is on the way; what is written now was written before it was heard of.
     assert_eq!(server.read(&mut [0]).await.unwrap(), 0);
     server.write_all(&lines::Line::finish("9b", 16).encode()).await.unwrap();
--- a/crates/node/src/links/ends.rs
+++ b/crates/node/src/links/ends.rs
@@ -99,7 +99,7 @@
         link.closing = true;
         tracing::info!(link = id.0, server = link.server, ?reason, "connection to a server is closed");
         self.watch.closing(link.server, id);
-        if !link.hold.close() && !link.hold.orders.is_closed() {
+        if !link.hold.close(reason.linger()) && !link.hold.orders.is_closed() {
             self.links.remove(&id);
         }
     }
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -37,6 +37,21 @@
     FormerProcess,
 }
 
+/// A connection that is closed here is read on for so long, unless its server closes it too. Guards what the server wrote
+/// before it heard of the close: a release of a session would be lost, and its client never told.
+const LINGER: Duration = Duration::from_secs(1);
+/// The same where sessions may stand that were set up on it: a server that hangs writes there once it goes on.
+const LINGER_FOR_SESSIONS: Duration = Duration::from_secs(10);
+
+impl CloseReason {
+    fn linger(self) -> Duration {
+        match self {
+            CloseReason::Idle | CloseReason::FormerProcess => LINGER_FOR_SESSIONS,
+            CloseReason::GivenUp | CloseReason::Unusable => LINGER,
+        }
+    }
+}
+
 /// A connection to a video server.
 struct Link {
     server: ServerId,
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -27,8 +27,8 @@
     Write(Bytes),
     /// Write a set-up, unless it was recalled or has waited too long.
     Setup(First),
-    /// Write what came before, then close.
-    Close,
+    /// Write what came before, then close, and read on for so long while the server does not close in turn.
+    Close(Duration),
 }
 
 /// A set-up for a connection.
@@ -72,8 +72,8 @@
 /// What was gathered besides bytes.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Gathered {
-    /// A close comes behind them.
-    pub(crate) close: bool,
+    /// A close comes behind them, and for how long it is read on.
+    pub(crate) close: Option<Duration>,
     /// Set-ups among them that were moot: they were not written.
     pub(crate) moot: Vec<AttemptId>,
 }
@@ -94,7 +94,8 @@
                 Passed::Recalled => {}
                 Passed::Moot => gathered.moot.push(setup.attempt),
             },
-            Some(Order::Close) | None => return Gathered { close: true, ..gathered },
+            Some(Order::Close(linger)) => return Gathered { close: Some(linger), ..gathered },
+            None => return Gathered { close: Some(Duration::ZERO), ..gathered },
         }
         match orders.try_recv() {
             Ok(order) => next = Some(order),
@@ -137,9 +138,9 @@
         self.orders.is_closed() || self.orders.capacity() == self.orders.max_capacity()
     }
 
-    /// Has it closed after what is queued; `false`: it can't be told, dropping the hold closes it.
-    pub(crate) fn close(&self) -> bool {
-        self.orders.try_send(Order::Close).is_ok()
+    /// Has it closed after what is queued, and read on for so long; `false`: it can't be told, dropping the hold closes it.
+    pub(crate) fn close(&self, linger: Duration) -> bool {
+        self.orders.try_send(Order::Close(linger)).is_ok()
     }
 }
 
