A release whose viewer's connection breaks before it can have been read is told on another

Callers saw: the viewer of a session that had ended heard nothing when its connection was reset with the release on it, though others were open; a session belongs to no connection. Cause: what was queued or written on a viewer's connection counted as told. Releases written within the last second on a connection that its viewer has closed or that broke, and not acknowledged, are placed again; what is closed here is written first and is not.

--- a/crates/cli/tests/node_overtaking.rs
+++ b/crates/cli/tests/node_overtaking.rs
@@ -7,7 +7,7 @@
 
 use listed::{assert_plays_on, assert_released, assert_released_within, settle, stand, tag, Listed};
 use listed::{HANDED_OVER_SLACK, RELEASED_WITHIN};
-use platform::{config, message, setup, start, until, Channel, Server};
+use platform::{config, message, reset, setup, start, until, Channel, Server};
 use serde_json::{json, Value};
 use std::io::Write;
 use std::time::Duration;
@@ -115,3 +115,18 @@
     older.finish(&tag(0xf3), 16);
     assert_released(&mut viewer, 0xf3, "after the server went on");
 }
+
+/// The release has come to the viewer's machine, and its connection is reset before anybody read it.
+#[test]
+fn a_release_that_goes_with_its_viewers_connection_is_told_again_on_another() {
+    let listed = Listed::new("reset");
+    let (viewer, mut link) = listed.stand_on_new(0xf7);
+    let mut other = listed.node.connect();
+    other.write_all(setup(0xf8, "clip", 2_000).as_bytes()).unwrap();
+    assert_eq!(link.start(), Some(tag(0xf8)), "on the connection that is there");
+    stand(&mut other, &mut link, 0xf8);
+    link.finish(&tag(0xf7), 16);
+    assert!(viewer.peek(&mut [0]).unwrap() > 0, "it has come");
+    reset(viewer);
+    assert_released(&mut other, 0xf7, "its first connection was reset");
+}
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -7,6 +7,7 @@
 mod end;
 mod lines;
 mod news;
+mod releases;
 mod servers;
 mod viewers;
 
@@ -24,10 +25,11 @@
 use cloverhollow_platform::config::Config;
 use cloverhollow_platform::early::EarlyReleases;
 use cloverhollow_platform::lines::{cause, Line, Verb};
-use cloverhollow_platform::rtsp::{Addressee, Message};
+use cloverhollow_platform::rtsp::{Addressee, Message, Start};
 use cloverhollow_platform::settings::Site;
 use cloverhollow_platform::standing::{ConnId, Left, Release, Standing};
 use cloverhollow_platform::told;
+use cloverhollow_platform::told_again::Unproven;
 use cloverhollow_platform::viewer::{self, Ask, Wish};
 use cloverhollow_platform::watch::{Down, LinkId, Watch};
 use cloverhollow_session::{
@@ -79,6 +81,8 @@
     links: Links,
     /// Releases of sessions that do not stand yet.
     early: EarlyReleases,
+    /// Releases that viewers may not have read.
+    unproven: Unproven,
     pub(crate) bounds: Bounds,
     pub(crate) from: watch::Sender<From>,
     conns: HashMap<ConnId, ViewerHold>,
@@ -115,6 +119,7 @@
             standing: Standing::default(),
             links,
             early: EarlyReleases::default(),
+            unproven: Unproven::default(),
             bounds,
             from,
             conns: HashMap::new(),
--- a/crates/node/src/desk/viewers.rs
+++ b/crates/node/src/desk/viewers.rs
@@ -110,6 +110,7 @@
         for (viewer, sid) in self.standing.closed(conn) {
             self.inputs.push(Input::HungUp { viewer, sid });
         }
+        self.tell_again(conn, end);
     }
 
     /// Queues bytes for a viewer; `false`: they never reach it.
@@ -134,18 +135,6 @@
         }
     }
 
-    pub(super) fn release(&mut self, release: Release) {
-        let mut next = Some(release);
-        // One that can't be written any more ends there; each time that costs a connection.
-        while let Some(Release { conn, sid, cause }) = next {
-            tracing::info!(session = %sid, conn = conn.0, cause, "released towards its viewer");
-            if self.write(conn, viewer::release(&sid, cause)) {
-                return;
-            }
-            next = self.standing.place(&sid, cause);
-        }
-    }
-
     /// Does what a message asks for.
     ///
     /// # Errors
@@ -153,6 +142,9 @@
     pub(super) fn message(&mut self, conn: ConnId, message: Message) -> Result<(), Addressee> {
         self.standing.spoke(conn);
         tracing::debug!(conn = conn.0, ?message, "asked");
+        if let (Start::Response { .. }, Some(sid)) = (&message.start, message.header("Session")) {
+            self.unproven.heard(sid);
+        }
         match viewer::read(message, &self.site) {
             Ok(Wish::Setup(setup)) => return self.setup(conn, *setup),
             Ok(Wish::Teardown { sid, cseq }) => {
@@ -179,12 +171,6 @@
         Ok(())
     }
 
-    pub(super) fn usual(&mut self, conn: ConnId) {
-        for release in self.standing.usual(conn) {
-            self.release(release);
-        }
-    }
-
     fn setup(&mut self, conn: ConnId, setup: viewer::Setup) -> Result<(), Addressee> {
         let viewer::Setup { sid, at, mut arrival } = setup;
         let to = || Addressee { cseq: Some("1".into()), session: Some(sid.to_string()) };
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod settings;
 pub mod standing;
 pub mod told;
+pub mod told_again;
 pub mod viewer;
 pub mod watch;
