--- a/crates/lab/src/standin/lines.rs
+++ b/crates/lab/src/standin/lines.rs
@@ -145,12 +145,14 @@
         if let Some(side) = sides.all().get_mut(&front) {
             side.conns.remove(&id);
         }
-        // What was not written any more goes on the next connection.
+        // What was not written any more goes on another connection, else on the next.
         lines_out.close();
         while let Ok(say) = lines_out.try_recv() {
             if let Say::Line(line) = say {
                 self.unsent(&line);
-                sides.all().entry(front).or_default().owed.push(line);
+                if sides.tell(front, id, line.clone(), false) {
+                    self.written(&line);
+                }
             }
         }
     }
