No connection to a server is opened in the last instants before the kill

A server says it again on the next connection that is opened. Once viewers' connections are closed, none is opened any more: the next process's is the next. Not forced in a test of its own; the soak covers the window.

--- a/crates/node/src/desk/servers.rs
+++ b/crates/node/src/desk/servers.rs
@@ -48,7 +48,9 @@
             gossip.tell(now);
         }
         let (standing, core) = (&self.standing, &self.core);
-        let cut = self.links.look(|server| standing.any_at(server), |server| core.list().address(server));
+        // Shortly before the kill what a server would say on a new connection is left to the next process.
+        let wanted = |server| !self.closed_before_kill && standing.any_at(server);
+        let cut = self.links.look(wanted, |server| core.list().address(server));
         cut.into_iter().for_each(|server| _ = self.cut(server, Duration::MAX));
         if self.directory.remembers_any() {
             let (standing, links) = (&self.standing, &self.links);
