--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -154,6 +154,7 @@
         fronts: fronts.clone(),
         wires: wires.clone(),
         clients: clients.clone(),
+        reconfigures: tokio::sync::Mutex::default(),
         log: log.clone(),
     });
     tasks.spawn(stage.clone().play());
--- a/crates/lab/src/rules/ends.rs
+++ b/crates/lab/src/rules/ends.rs
@@ -22,8 +22,12 @@
     /// It stands there for its viewer.
     stands: bool,
     server: u64,
+    /// The server that was last asked for it.
+    asked: u64,
     /// Its server has let it go.
     ended: bool,
+    /// Its release was written.
+    written: bool,
 }
 
 pub(super) fn check(all: &[Exchange]) -> Verdict {
@@ -38,9 +42,13 @@
     for e in all {
         match &e.seen {
             Seen::Called { sid, front, .. } => sessions.entry(sid).or_default().front = *front,
+            Seen::SetupRead { server, sid, .. } => sessions.entry(sid).or_default().asked = *server,
+            // The answer to an attempt that was given up for another's stands nowhere.
             Seen::SetupClosed { server, sid, status: Some(200) } => {
                 let session = sessions.entry(sid).or_default();
-                (session.server, session.ended) = (*server, false);
+                if session.asked == *server || session.asked == 0 {
+                    (session.server, session.ended) = (*server, false);
+                }
             }
             Seen::CallEnded { sid, got: Got::Status { status: 200, .. }, .. } => {
                 sessions.entry(sid).or_default().stands = true;
@@ -58,6 +66,7 @@
                 }
             }
             Seen::ReleaseWritten { sid, .. } => {
+                sessions.entry(sid).or_default().written = true;
                 // It was written at least once; the first time counts.
                 if let Some((_, by)) = owed.get_mut(sid) {
                     *by = (*by).min(e.at + TOLD + WAY);
@@ -70,8 +79,14 @@
                 }
             }
             Seen::ServerDown { server } => {
-                for (sid, _) in sessions.iter().filter(|(_, s)| s.stands && !s.ended && s.server == *server) {
-                    owed.entry(sid).or_insert((e.at, e.at + UNTOLD + WAY));
+                for (sid, s) in sessions.iter().filter(|(_, s)| s.stands && s.server == *server) {
+                    let by = e.at + UNTOLD + WAY;
+                    if !s.ended {
+                        owed.entry(sid).or_insert((e.at, by));
+                    } else if let Some(entry) = owed.get_mut(sid).filter(|_| !s.written) {
+                        // Its process died over the release.
+                        *entry = (e.at, by);
+                    }
                 }
             }
             Seen::Released { sid, .. } => {
--- a/crates/lab/src/rules/restarts.rs
+++ b/crates/lab/src/rules/restarts.rs
@@ -29,10 +29,9 @@
                     by_front.entry(*front).or_default().push(restart);
                 }
                 Seen::FrontDown { front } => {
-                    let open = by_front.get_mut(front).and_then(|all| all.last_mut());
-                    if let Some(restart) = open.filter(|r| r.ended == Duration::MAX) {
-                        restart.ended = e.at;
-                    }
+                    // Two troubles may have told it.
+                    let open = by_front.get_mut(front).into_iter().flatten();
+                    open.for_each(|restart| restart.ended = restart.ended.min(e.at));
                 }
                 Seen::FrontExited { front } => {
                     if let Some(restart) = by_front.get_mut(front).and_then(|all| all.last_mut()) {
--- a/crates/lab/src/standin/lines.rs
+++ b/crates/lab/src/standin/lines.rs
@@ -59,7 +59,6 @@
             side.next += 1;
             side.conns.insert(side.next, out.clone());
             std::mem::take(&mut side.owed).into_iter().for_each(|line| {
-                self.written(&line);
                 drop(out.try_send(Say::Line(line)));
             });
             side.next
@@ -78,17 +77,22 @@
         let mut buf = BytesMut::with_capacity(READ);
         // Lines that came while the process stood still.
         let mut held: Vec<(Duration, Line)> = Vec::new();
+        let mut half_written = None;
         'conn: loop {
             tokio::select! {
                 Some(say) = lines_out.recv() => {
-                    let bytes = match say {
+                    let bytes = match &say {
                         Say::Line(line) => line.encode(),
-                        Say::Bytes(bytes) => bytes,
+                        Say::Bytes(bytes) => bytes.clone(),
                         Say::Close => break,
                     };
-                    if self.write(&mut stream, &bytes).await.is_err() {
+                    let wrote = self.write(&mut stream, &bytes).await;
+                    let Say::Line(line) = say else { continue };
+                    if wrote.is_err() {
+                        half_written = Some(line);
                         break;
                     }
+                    self.written(&line);
                 }
                 read = stream.read_buf(&mut buf) => {
                     if !matches!(read, Ok(n) if n > 0) {
@@ -147,12 +151,13 @@
         }
         // What was not written any more goes on another connection, else on the next.
         lines_out.close();
-        while let Ok(say) = lines_out.try_recv() {
-            if let Say::Line(line) = say {
+        let queued = std::iter::from_fn(|| lines_out.try_recv().ok()).filter_map(|say| match say {
+            Say::Line(line) => Some(line),
+            Say::Bytes(_) | Say::Close => None,
+        });
+        for line in half_written.into_iter().chain(queued) {
+            if !sides.tell(front, id, line.clone(), false) {
                 self.unsent(&line);
-                if sides.tell(front, id, line.clone(), false) {
-                    self.written(&line);
-                }
             }
         }
     }
--- a/crates/lab/src/standin/set_up.rs
+++ b/crates/lab/src/standin/set_up.rs
@@ -91,11 +91,8 @@
             let stands = sides.all().get(&front).is_some_and(|s| s.standing.contains_key(&sid));
             if stands && self.let_go(&sid, front, &sides) {
                 let release = self.loaded(Line::finish(&sid, cause::DONE));
-                // The log has it before the front can.
                 let open = !sides.all().entry(front).or_default().conns.is_empty();
-                if open {
-                    self.written(&release);
-                } else {
+                if !open {
                     self.unsent(&release);
                 }
                 sides.tell(front, conn, release, self.closes_early(&sid));
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -36,6 +36,8 @@
     pub wires: Option<Arc<Wires>>,
     /// The clients, where the fronts are the platform's.
     pub clients: Option<Arc<Clients>>,
+    /// New configurations are written one after the other.
+    pub reconfigures: tokio::sync::Mutex<()>,
     /// The day's clock.
     pub log: Arc<Log>,
 }
@@ -102,7 +104,8 @@
     fn back(&self, server: u64) -> bool {
         let now = self.log.now();
         let standing = match self.world.fleet().servers.get_mut(&server) {
-            Some(s) if !s.fallen => {
+            // Another trouble may have brought it back already.
+            Some(s) if !s.fallen && self.servers[&server].mode() == Mode::Down => {
                 s.restart(now);
                 true
             }
--- a/crates/lab/src/troubles/platform.rs
+++ b/crates/lab/src/troubles/platform.rs
@@ -73,6 +73,7 @@
         for n in 0..times {
             let until = self.log.now() + step;
             for front in &c.fronts {
+                let _one_at_a_time = self.reconfigures.lock().await;
                 let moved = self.discovery.move_channel(*front, self.world.host).await;
                 let told = moved.and_then(|port| self.fronts.reconfigure(*front, port));
                 if let Err(error) = told {
