Review: stand-ins for a channel that is down and a server that is replaced

Need: an entry of KNOWN-RED.txt was traced to a fault of the product, and its case needs a command channel out of reach and another server at an address. Change: Channel::set_down, the play `replaced`.

--- a/review/standin/src/cases/discovery.rs
+++ b/review/standin/src/cases/discovery.rs
@@ -3,7 +3,7 @@
 use crate::channel::{endpoint, event, Channel};
 use crate::node::{Node, NodeConfig};
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Reply, Server};
 use crate::viewer::{Seen, Setup, Viewer, What};
 use std::time::Duration;
 
@@ -55,6 +55,7 @@
         }
         if n == 75 {
             // The drained process ends; another video server, of cell 6, takes its address.
+            s1.state().reply = Reply::Error;
             s1.replace("s-00000003");
             let gone = endpoint(&s1.name, s1.address, 0, "terminated", 0);
             let new = endpoint("s-00000003", s1.address, 6, "in_service", 0);
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -4,4 +4,5 @@
 pub mod descriptors;
 pub mod discovery;
 pub mod release;
+pub mod replaced;
 pub mod vanish;
--- a/review/standin/src/channel.rs
+++ b/review/standin/src/channel.rs
@@ -3,6 +3,7 @@
 use crate::record::Record;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,8 @@
     record: Record,
     /// Time from a call to the head of its answer.
     answers_after: Duration,
+    /// Out of reach: calls are refused, and open streams have ended.
+    down: Arc<AtomicBool>,
 }
 
 /// An entry of the list.
@@ -38,15 +41,37 @@
             events: Arc::new(Mutex::new(vec![(1, first.to_owned())])),
             record: record.clone(),
             answers_after,
+            down: Arc::default(),
         };
         let accepting = channel.clone();
-        std::thread::spawn(move || {
-            for (n, stream) in listener.incoming().enumerate() {
-                let (channel, Ok(stream)) = (accepting.clone(), stream) else { continue };
+        std::thread::spawn(move || accepting.accept(listener));
+        channel
+    }
+
+    fn accept(&self, first: TcpListener) {
+        let (mut listener, mut calls) = (Some(first), 0);
+        loop {
+            std::thread::sleep(Duration::from_millis(1));
+            if self.down.load(Relaxed) {
+                listener = None;
+                continue;
+            }
+            listener = listener.or_else(|| TcpListener::bind(self.address).ok());
+            let Some(l) = &listener else { continue };
+            l.set_nonblocking(true).unwrap();
+            if let Ok((stream, _)) = l.accept() {
+                let (channel, n) = (self.clone(), calls);
+                let _ = stream.set_nonblocking(false);
                 std::thread::spawn(move || channel.serve(n, stream));
+                calls += 1;
             }
-        });
-        channel
+        }
+    }
+
+    /// Takes the channel out of reach, or back.
+    pub fn set_down(&self, down: bool) {
+        self.record.note("channel", if down { "out of reach" } else { "within reach again" });
+        self.down.store(down, Relaxed);
     }
 
     /// Adds an event; from then on it counts as told.
@@ -78,7 +103,7 @@
         let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-store\r\n\r\n";
         let (mut result, mut commented_at) = (stream.write_all(head.as_bytes()), Instant::now());
         self.record.note(&who, "answers 200");
-        while result.is_ok() {
+        while result.is_ok() && !self.down.load(Relaxed) {
             let next = self.events.lock().unwrap().iter().find(|(id, _)| *id > last).cloned();
             if let Some((id, data)) = next {
                 last = id;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -28,6 +28,7 @@
     let broken = match case.as_str() {
         "connections" => cases::connections::play(&record, trouble),
         "release" => cases::release::play(&record, trouble),
+        "replaced" => cases::replaced::play(&record, trouble),
         "discovery" => cases::discovery::play(&record, trouble),
         "descriptors" => cases::descriptors::play(&record, trouble),
         "vanish" => cases::vanish::play(&record, trouble),
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -174,11 +174,9 @@
         self.note(&format!("session {sid} is over: it has come to its end"))
     }
 
-    /// The process dies: its connections are reset and its sessions are cut. Another video server, which does not hold
-    /// the same titles, starts at its address.
+    /// The process dies: its connections are reset and its sessions are cut. Another video server starts at its address.
     pub fn replace(&self, by: &str) -> f64 {
         let mut state = self.state();
-        state.reply = Reply::Error;
         let cut: Vec<_> = std::mem::take(&mut state.sessions).into_keys().collect();
         for (_, stream) in std::mem::take(&mut state.connections) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
