Review, case 1: as many connections as the site's servers take

Change: a process of its own holds the other session managers' connections, so that 1,024 descriptors are enough.

--- a/review/standin/src/cases/connections.rs
+++ b/review/standin/src/cases/connections.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 const TOLD_EVERY_MS: u64 = 2_500;
-/// Connections that the video server takes, over all session managers: two cores at the lowest `cap_per_core` of BENCH.
-const MOST_CONNECTIONS: usize = 200;
+/// Connections that the video server takes, over all session managers: two cores at the lowest `cap_per_core` of rooster-media.
+const MOST_CONNECTIONS: usize = 820;
 /// Seats of a title of the class `signoff-briefing`, by the settings.
 const SEATS: usize = 4;
 const PAID: &str = "signoff-briefing";
@@ -53,25 +53,27 @@
     }
     let begun = record.now();
     if trouble {
-        record.wait_until(begun + 0.8);
+        record.wait_until(begun + 0.3);
         s1.fill_by_others();
         if s1.state().has_room() {
+            s1.end_others();
             crate::cannot_run("the other session managers could not open all connections in time");
         }
     }
     // Four viewers come in the same instant.
-    record.wait_until(begun + 2.0);
+    let burst = record.now().max(begun + 2.0);
+    record.wait_until(burst);
     let sids: Vec<String> = (0..4).map(|i| format!("{:016x}", 0xb0 + i)).collect();
     viewers.send(&sids.iter().map(|sid| setup(sid, "shift-clip")).collect::<Vec<_>>());
     // Later one comes, and after it some who want the title whose seats are taken.
-    record.wait_until(begun + 5.0);
+    record.wait_until(burst + 3.0);
     viewers.send(&[setup("00000000000000c0", "shift-clip")]);
     let wanted: Vec<String> = (0..6).map(|i| format!("{:016x}", 0xd0 + i)).collect();
     for (i, sid) in wanted.iter().enumerate() {
-        record.wait_until(begun + 5.7 + 0.8 * i as f64);
+        record.wait_until(burst + 3.7 + 0.8 * i as f64);
         viewers.send(&[setup(sid, PAID)]);
     }
-    record.wait_until(begun + 11.0);
+    record.wait_until(burst + 9.0);
     // Not judged by itself: what was released to its viewer, while the video server plays it on.
     let mut broken = Vec::new();
     for (sid, class) in PLAYING {
@@ -114,6 +116,7 @@
             broken.push(format!("session {sid}, over at {at:.3}, was not released within 1.05 s"));
         }
     }
+    s1.end_others();
     node.end();
     broken
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -19,6 +19,11 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, fill, address, count] = &args[..] {
+        if fill == "fill" {
+            return server::fill(address, count.parse().unwrap_or(0));
+        }
+    }
     let [_, case, path] = &args[..] else { cannot_run("usage: review-standin CASE RECORD") };
     let record = Record::create(path);
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -2,9 +2,10 @@
 
 use crate::record::Record;
 pub use crate::server_state::{Reply, State};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::process::Stdio;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -57,9 +58,11 @@
 
     /// Accepts connections. With as many as it takes it does not listen, so that further ones are refused.
     fn accept(&self, first: TcpListener) {
-        let mut listener = Some(first);
+        let (mut listener, mut waits) = (Some(first), true);
         loop {
-            std::thread::sleep(Duration::from_millis(1));
+            if std::mem::replace(&mut waits, true) {
+                std::thread::sleep(Duration::from_millis(1));
+            }
             let (open, most, vanished) = {
                 let state = self.state();
                 (state.connections.len(), state.most_connections, state.vanished)
@@ -87,15 +90,19 @@
             }
             let Some(l) = &listener else { continue };
             l.set_nonblocking(true).unwrap();
-            if let Ok((stream, peer)) = l.accept() {
+            if let Ok((stream, _)) = l.accept() {
+                waits = false;
                 let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
                 let (mut state, stream) = (self.state(), Arc::new(stream));
                 state.last_connection += 1;
                 let n = state.last_connection;
                 state.connections.insert(n, stream.clone());
-                let other = state.others.contains(&peer.port());
+                if state.is_filled {
+                    state.others.insert(n); // nothing comes on it
+                    continue;
+                }
                 drop(state);
-                self.note(&format!("connection {n} accepted, of another session manager: {other}"));
+                self.note(&format!("connection {n} accepted"));
                 let server = self.clone();
                 std::thread::spawn(move || server.serve(n, stream));
             }
@@ -189,8 +196,7 @@
     fn write_for(&self, sid: &str, line: &str) {
         let state = self.state();
         let own = state.sessions.get(sid).copied().filter(|n| state.connections.contains_key(n));
-        let of_node = |c: &Arc<TcpStream>| c.peer_addr().is_ok_and(|a| !state.others.contains(&a.port()));
-        let any = || state.connections.iter().rev().find(|(_, c)| of_node(c)).map(|(n, _)| *n);
+        let any = || state.connections.keys().rev().find(|n| !state.others.contains(n)).copied();
         let Some(n) = own.or_else(any) else { return drop(state) };
         drop(state);
         self.write(n, line);
@@ -203,16 +209,39 @@
         self.note(&format!("connection {n} writes {line}{}", if result.is_err() { " (failed)" } else { "" }));
     }
 
-    /// Other session managers open connections until the server has all that it takes.
+    /// Another process, for the other session managers, opens connections until the server has all that it takes. The
+    /// session manager opens none meanwhile. The process ends with this one.
     pub fn fill_by_others(&self) {
-        let until = Instant::now() + Duration::from_secs(2);
+        let count = {
+            let mut state = self.state();
+            state.is_filled = true;
+            state.most_connections - state.connections.len()
+        };
+        let program = std::env::current_exe().unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
+        let args = ["fill".to_owned(), self.address.to_string(), count.to_string()];
+        let others = std::process::Command::new(program).args(args).stdin(Stdio::piped()).spawn();
+        self.state().held_by_others = others.ok();
+        let until = Instant::now() + Duration::from_secs(5);
         while self.state().has_room() && Instant::now() < until {
-            if let Ok(stream) = TcpStream::connect(self.address) {
-                let mut state = self.state();
-                state.others.push(stream.local_addr().unwrap().port());
-                state.held_by_others.push(stream);
-            }
             std::thread::sleep(Duration::from_millis(2));
         }
+        self.state().is_filled = false;
+    }
+
+    /// Ends the process that holds connections for others.
+    pub fn end_others(&self) {
+        if let Some(mut others) = self.state().held_by_others.take() {
+            let _ = (others.kill(), others.wait());
+        }
+    }
+}
+
+/// The process of `fill_by_others`: holds connections until its standard input ends.
+pub fn fill(address: &str, count: usize) {
+    let until = Instant::now() + Duration::from_secs(4);
+    let mut held = Vec::new();
+    while held.len() < count && Instant::now() < until {
+        held.extend(TcpStream::connect(address));
     }
+    let _ = std::io::stdin().read(&mut [0]);
 }
--- a/review/standin/src/server_state.rs
+++ b/review/standin/src/server_state.rs
@@ -1,7 +1,8 @@
 //! What a video server holds, and how it is set to behave.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
+use std::process::Child;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,9 +31,12 @@
     /// The machine is gone: it reads and writes nothing, and takes no connection.
     pub vanished: bool,
     pub connections: BTreeMap<u64, Arc<TcpStream>>,
-    /// Ports of connections that other session managers have opened.
-    pub others: Vec<u16>,
-    pub held_by_others: Vec<TcpStream>,
+    /// Those of them that other session managers have opened.
+    pub others: BTreeSet<u64>,
+    /// Connections that come now are of other session managers.
+    pub is_filled: bool,
+    /// Their process.
+    pub held_by_others: Option<Child>,
     pub last_connection: u64,
 }
 
@@ -47,8 +51,9 @@
             finishes: Vec::new(),
             vanished: false,
             connections: BTreeMap::new(),
-            others: Vec::new(),
-            held_by_others: Vec::new(),
+            others: BTreeSet::new(),
+            is_filled: false,
+            held_by_others: None,
             last_connection: 0,
         }
     }
