Log what a release waits for, and which step of the command channel timed out

Change: 'release waits for a connection' with the number of open connections and waiting releases; 'command channel answered' with the time to the head; 'command channel broke' names the step and its time-out. No behaviour changes.

--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -30,10 +30,39 @@
     pub(crate) rejected_stream: u64,
 }
 
+/// Step of reading a stream that has a time-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Connect,
+    ResponseHead,
+    Body,
+}
+
+impl std::fmt::Display for Step {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Step::Connect => "connecting",
+            Step::ResponseHead => "waiting for the response head",
+            Step::Body => "waiting for data",
+        })
+    }
+}
+
+impl Step {
+    /// Runs the step with its time-out.
+    async fn run<T>(self, future: impl std::future::Future<Output = T>) -> Result<T, StreamError> {
+        let limit = match self {
+            Step::Connect | Step::ResponseHead => RESPONSE_TIMEOUT,
+            Step::Body => SILENCE_TIMEOUT,
+        };
+        timeout(limit, future).await.map_err(|_| StreamError::TimedOut { step: self, timeout: limit })
+    }
+}
+
 #[derive(Debug, thiserror::Error)]
 enum StreamError {
-    #[error("timed out")]
-    TimedOut,
+    #[error("{step} timed out after {} ms", timeout.as_millis())]
+    TimedOut { step: Step, timeout: Duration },
     #[error("cannot connect: {0}")]
     Connect(std::io::Error),
     #[error("status {0}")]
@@ -73,7 +102,7 @@
         // Lets the event loop apply the events received before the stream ended.
         tokio::task::yield_now().await;
         let position = *position_rx.borrow();
-        tracing::info!(channel = %start.address, cursor = position.cursor, %error, "command channel broke");
+        tracing::info!(channel = %start.address, cursor = position.cursor, stream, %error, "command channel broke");
         let moved = position.address != start.address;
         let delay = backoff.next_delay(started_at.elapsed(), moved || position.cursor > start.cursor);
         // A new address is tried soon, however long the delay for the current one has become.
@@ -101,9 +130,8 @@
     stream: u64,
     event_tx: &mpsc::Sender<LoopEvent>,
 ) -> Result<(), StreamError> {
-    let conn =
-        timeout(RESPONSE_TIMEOUT, connect(position.address)).await.map_err(|_| StreamError::TimedOut)?;
-    let mut conn = conn.map_err(StreamError::Connect)?;
+    let called_at = Instant::now();
+    let mut conn = Step::Connect.run(connect(position.address)).await?.map_err(StreamError::Connect)?;
     let target =
         Target::parse(Bytes::from_static(b"/cmd/next")).ok_or(StreamError::Malformed("invalid path"))?;
     let mut head = RequestHead::get(target);
@@ -111,15 +139,16 @@
     head.headers.push("accept", "text/event-stream");
     head.headers.push("last-event-id", position.cursor.to_string());
     conn.send_request(head, Bytes::new()).await?;
-    let head = timeout(RESPONSE_TIMEOUT, conn.read_head()).await.map_err(|_| StreamError::TimedOut)??;
+    let head = Step::ResponseHead.run(conn.read_head()).await??;
+    let after_ms = called_at.elapsed().as_millis();
+    tracing::info!(channel = %position.address, stream, after_ms, status = head.status, "command channel answered");
     if head.status != 200 {
         return Err(StreamError::Status(head.status));
     }
     // An incomplete event at the end of a broken stream is dropped together with the decoder.
     let mut decoder = EventStreamDecoder::new(MAX_EVENT_BYTES);
     loop {
-        let chunk =
-            timeout(SILENCE_TIMEOUT, conn.read_body_chunk()).await.map_err(|_| StreamError::TimedOut)??;
+        let chunk = Step::Body.run(conn.read_body_chunk()).await??;
         let Some(chunk) = chunk else { return Ok(()) };
         for event in decoder.push(&chunk).map_err(StreamError::Malformed)? {
             if event_tx
--- a/crates/platform/src/session_registry/releases.rs
+++ b/crates/platform/src/session_registry/releases.rs
@@ -36,6 +36,8 @@
         match best() {
             Some(conn) => Some(Release { conn, sid: sid.clone(), cause }),
             None => {
+                let (connections, waiting) = (self.conns.len(), self.pending_releases.len() + 1);
+                tracing::info!(session = %sid, cause, connections, waiting, "release waits for a connection");
                 self.pending_releases.push_back((sid.clone(), cause));
                 if self.pending_releases.len() > MAX_PENDING_RELEASES {
                     self.pending_releases.pop_front();
