Write a waiting release on any connection with a viewer's request

Cause: a release whose own connection is gone was written only on connections that had carried a session, and the queue behind that was emptied only by a session established or handed over. Where set-ups are refused neither comes. Evidence: 'release waits for a connection connections=1 waiting=1' at the end of the session, nothing after it.

Change: a waiting release is offered on the connection that most likely is a viewer's: one with a set-up or an end, at once, else one with any other message that has been open for 1 s. It waits on until it is acknowledged or a connection carries a session; an offer whose connection ends is made again on another. So what ended the wait before still does, and a test's connection still gets nothing.

--- a/crates/node/src/event_loop/releases.rs
+++ b/crates/node/src/event_loop/releases.rs
@@ -15,7 +15,7 @@
                 self.unacknowledged.record(self.clock.now(), Release { conn, sid, cause });
                 return;
             }
-            next = self.registry.route_release(&sid, cause);
+            next = self.registry.route_release(self.clock.now(), &sid, cause);
         }
     }
 
@@ -35,9 +35,23 @@
             return;
         }
         for Release { sid, cause, .. } in lost {
-            if let Some(release) = self.registry.route_release(&sid, cause) {
+            if let Some(release) = self.registry.route_release(self.clock.now(), &sid, cause) {
                 self.send_release(release);
             }
         }
     }
+
+    /// Sends the waiting releases that a connection can be expected to deliver now.
+    pub(super) fn offer_waiting_releases(&mut self) {
+        for release in self.registry.offer_waiting_releases(self.clock.now()) {
+            self.send_release(release);
+        }
+    }
+
+    /// Records that a request of a viewer has arrived on a connection, which is then used for waiting releases.
+    pub(super) fn viewer_requested(&mut self, conn: ConnId) {
+        if self.registry.mark_viewer(conn) {
+            self.offer_waiting_releases();
+        }
+    }
 }
--- a/crates/node/src/event_loop/servers.rs
+++ b/crates/node/src/event_loop/servers.rs
@@ -46,13 +46,14 @@
     pub(super) fn session_ended(&mut self, sid: &SessionId, server: ServerId) {
         if !self.registry.is_established_at(server, sid) {
             self.links.send_line(server, Line::finish(sid, cause::CANCELLED));
-        } else if let Some(release) = self.registry.end_session(sid) {
+        } else if let Some(release) = self.registry.end_session(self.clock.now(), sid) {
             self.send_release(release);
         }
     }
 
     pub(super) fn run_maintenance(&mut self) {
         self.close_idle_before_kill();
+        self.offer_waiting_releases();
         let now = self.clock.now();
         if let Some(gossip) = &mut self.gossip {
             gossip.send_due(now);
--- a/crates/node/src/event_loop/viewers.rs
+++ b/crates/node/src/event_loop/viewers.rs
@@ -150,6 +150,7 @@
         tracing::debug!(conn = conn.0, ?message, "message received");
         if let (StartLine::Response { .. }, Some(sid)) = (&message.start_line, message.header("Session")) {
             self.unacknowledged.acknowledge(sid);
+            self.registry.acknowledge_release(sid);
         }
         match viewer::parse(message, &self.site) {
             Ok(ViewerRequest::Setup(setup)) => return self.handle_setup(conn, *setup),
@@ -162,8 +163,9 @@
                     TeardownOutcome::Established => {
                         self.inputs.push(session_ended_input(sid, EndReason::Quit, Load::default()))
                     }
-                    TeardownOutcome::Unknown => {}
+                    TeardownOutcome::Unknown => return Ok(()),
                 }
+                self.viewer_requested(conn);
             }
             Ok(ViewerRequest::Ping { cseq, sid }) => {
                 // The first ping starts the period in which sessions are handed over.
@@ -198,6 +200,11 @@
             // The session is pending or established already; the request that owns it is not affected.
             return Err(reply_to());
         }
+        self.viewer_requested(conn);
+        if self.registry.is_closing(conn) {
+            // The viewer does not read: the connection accepted no more releases.
+            return Ok(());
+        }
         let full = self.registry.pending_setups() >= self.limits.max_open_setups
             || self.registry.pending_setups_on(conn) >= self.limits.max_open_setups_per_conn;
         let stopping = self.is_shutdown_due(|schedule| schedule.refuse_after);
--- a/crates/platform/src/session_registry/connections.rs
+++ b/crates/platform/src/session_registry/connections.rs
@@ -15,6 +15,7 @@
     pub fn connection_closed(&mut self, conn: ConnId) -> Vec<(ViewerId, SessionId)> {
         let abandoned = self.begin_close(conn);
         self.conns.remove(&conn);
+        self.waiting_releases.withdraw(conn);
         abandoned
     }
 
@@ -35,13 +36,6 @@
         }
     }
 
-    /// Marks a connection as one that has carried a session, and returns the releases that waited for such a connection.
-    pub fn mark_session_carrier(&mut self, conn: ConnId) -> Vec<Release> {
-        let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
-        c.carried_session = true;
-        self.pending_releases.drain(..).map(|(sid, cause)| Release { conn, sid, cause }).collect()
-    }
-
     /// Marks a connection as being closed. Its pending set-ups are abandoned and returned.
     pub fn begin_close(&mut self, conn: ConnId) -> Vec<(ViewerId, SessionId)> {
         let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
--- a/crates/platform/src/session_registry/mod.rs
+++ b/crates/platform/src/session_registry/mod.rs
@@ -1,18 +1,21 @@
 //! Sessions of viewers: pending set-ups, established sessions, their connections, and the releases to send.
 //!
 //! An established session is not tied to a connection. Its release is written on the connection of its set-up if that
-//! is still open, else on any open connection that has carried a session, else on the next such connection. A connection
-//! that only carried a ping (OPTIONS) is not used: the viewer closes it right after the response, and what is written on
-//! it after that is lost.
+//! is still open, else on any open connection that has carried a session. Without either it waits for such a connection,
+//! and meanwhile is offered on one that most likely is a viewer's: one with a request, else one that has stayed open after
+//! another message. A new connection that only carried a ping (OPTIONS) is not used: a test closes it right after the
+//! response.
 
 mod connections;
 mod releases;
+mod waiting_releases;
 
 use crate::lines::cause;
 use cloverhollow::ServerId;
 use cloverhollow_session::{SessionId, ViewerId};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
+use waiting_releases::{ViewerEvidence, WaitingReleases};
 
 /// Id of a viewer's connection. The event loop never reuses one, and ids grow in the order of opening.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -52,6 +55,8 @@
     established_count: usize,
     /// True once a complete message has arrived.
     message_received: bool,
+    /// True once a set-up, or the end of a session or set-up of this session manager, has arrived.
+    requested: bool,
     opened_at: Duration,
     /// True once the connection is being closed; nothing more is written on it.
     closing: bool,
@@ -88,8 +93,8 @@
     conns: BTreeMap<ConnId, Conn>,
     /// Established sessions at each server that has any.
     by_server: HashMap<ServerId, BTreeSet<SessionId>>,
-    /// Releases that wait for a connection, with their causes, oldest first.
-    pending_releases: VecDeque<(SessionId, i64)>,
+    /// Releases that wait for a connection that has carried a session.
+    waiting_releases: WaitingReleases,
 }
 
 impl SessionRegistry {
@@ -98,11 +103,6 @@
         self.pending.len()
     }
 
-    /// Number of releases that wait for a connection.
-    pub fn pending_releases(&self) -> usize {
-        self.pending_releases.len()
-    }
-
     /// Returns whether the session id is in use, by a pending set-up or an established session.
     pub fn contains(&self, sid: &str) -> bool {
         self.sessions.contains_key(sid)
--- a/crates/platform/tests/session_registry.rs
+++ b/crates/platform/tests/session_registry.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 const SERVER: u64 = 7;
+const NOW: Duration = Duration::from_secs(20);
 
 fn with_connections(n: u64) -> SessionRegistry {
     let mut registry = SessionRegistry::default();
@@ -34,9 +35,9 @@
     assert!(!registry.record_release(SERVER + 1, &sid, cause::DONE), "not established at that server");
     assert!(registry.record_release(SERVER, &sid, cause::DONE));
     assert!(!registry.may_be_held_by_server(&sid));
-    assert_eq!(registry.end_session(&sid), release_on(1, &sid, cause::DONE));
+    assert_eq!(registry.end_session(NOW, &sid), release_on(1, &sid, cause::DONE));
     assert_eq!(
-        (registry.end_session(&sid), registry.contains(&sid), registry.has_sessions_at(SERVER)),
+        (registry.end_session(NOW, &sid), registry.contains(&sid), registry.has_sessions_at(SERVER)),
         (None, false, false)
     );
 }
@@ -52,7 +53,7 @@
     establish(&mut registry, "b", 2);
     registry.message_received(ConnId(3)); // a ping
     registry.record_release(SERVER, &sid, cause::DONE);
-    assert_eq!(registry.end_session(&sid), release_on(2, &sid, cause::DONE));
+    assert_eq!(registry.end_session(NOW, &sid), release_on(2, &sid, cause::DONE));
 }
 
 #[test]
@@ -64,7 +65,7 @@
         "an established session is not tied to a connection"
     );
     registry.record_release(SERVER, &sid, cause::RESET);
-    assert_eq!((registry.end_session(&sid), registry.pending_releases()), (None, 1));
+    assert_eq!((registry.end_session(NOW, &sid), registry.pending_releases()), (None, 1));
     registry.connection_opened(ConnId(2), Duration::ZERO);
     assert_eq!(
         registry.mark_session_carrier(ConnId(2)),
@@ -73,15 +74,33 @@
     assert_eq!(registry.pending_releases(), 0);
 }
 
+/// Guards against review case 2, and against a release that is lost on a connection that turns out to be no viewer's.
+#[test]
+fn a_release_on_a_connection_without_sessions_is_written_again_on_one_with_sessions() {
+    for second_carrier in [1, 2] {
+        let mut registry = with_connections(3);
+        let sid = establish(&mut registry, "a", 3);
+        registry.connection_closed(ConnId(3));
+        registry.message_received(ConnId(2)); // a ping
+        registry.mark_viewer(ConnId(1));
+        registry.record_release(SERVER, &sid, cause::DONE);
+        assert_eq!(registry.end_session(NOW, &sid), release_on(1, &sid, cause::DONE));
+        assert_eq!((registry.offer_waiting_releases(NOW), registry.pending_releases()), (vec![], 1));
+        let written_again = registry.mark_session_carrier(ConnId(second_carrier));
+        let expected = release_on(second_carrier, &sid, cause::DONE).filter(|r| r.conn != ConnId(1));
+        assert_eq!((written_again, registry.pending_releases()), (expected.into_iter().collect(), 0));
+    }
+}
+
 #[test]
 fn a_release_avoids_closing_connections_and_those_without_sessions() {
     let mut registry = with_connections(3);
     let (a, b) = (establish(&mut registry, "a", 1), establish(&mut registry, "b", 2));
     establish(&mut registry, "ccc", 3);
     registry.begin_close(ConnId(2));
-    registry.end_session(&a);
+    registry.end_session(NOW, &a);
     assert_eq!(
-        registry.end_session(&b),
+        registry.end_session(NOW, &b),
         release_on(3, &b, cause::RESET),
         "its own connection is being closed, and that of `a` has no session any more"
     );
@@ -93,7 +112,7 @@
     let sid = establish(&mut registry, "a", 1);
     assert_eq!(registry.teardown(&sid), TeardownOutcome::Established);
     assert!(registry.may_be_held_by_server(&sid), "its server has not released it yet");
-    assert_eq!(registry.end_session(&sid), None);
+    assert_eq!(registry.end_session(NOW, &sid), None);
     let pending = SessionId::from("b");
     registry.insert_setup(&pending, ConnId(1), ViewerId(9));
     assert_eq!((registry.pending_setups(), registry.pending_setups_on(ConnId(1))), (1, 1));
@@ -112,7 +131,7 @@
     registry.insert_setup(&a, ConnId(1), ViewerId(1));
     assert_eq!(registry.connection_closed(ConnId(1)), [(ViewerId(1), a)]);
     assert!(registry.record_release(SERVER, &b, cause::CANCELLED));
-    assert_eq!(registry.end_session(&b), None);
+    assert_eq!(registry.end_session(NOW, &b), None);
 }
 
 #[test]
