--- a/crates/net/src/events.rs
+++ b/crates/net/src/events.rs
@@ -12,6 +12,8 @@
     max_bytes: usize,
     buf: BytesMut,
     data: String,
+    /// True after a field of an event that has not ended yet.
+    in_event: bool,
     /// Length of the prefix of `buf` that has been searched for a line end.
     searched: usize,
 }
@@ -25,7 +27,13 @@
 impl EventStreamDecoder {
     /// Creates a decoder that accepts lines and events of at most `max_bytes`.
     pub fn new(max_bytes: usize) -> Self {
-        EventStreamDecoder { max_bytes, buf: BytesMut::new(), data: String::new(), searched: 0 }
+        EventStreamDecoder {
+            max_bytes,
+            buf: BytesMut::new(),
+            data: String::new(),
+            in_event: false,
+            searched: 0,
+        }
     }
 
     /// Appends bytes of the stream and returns the data of each event that they complete.
@@ -41,10 +49,14 @@
             let line = std::str::from_utf8(&line).map_err(|_| "event stream line is not UTF-8")?;
             let line = line.trim_end_matches(['\r', '\n']);
             if line.is_empty() {
+                self.in_event = false;
                 if !self.data.is_empty() {
                     events.push(std::mem::take(&mut self.data));
                 }
-            } else if let Some(data) = line.strip_prefix("data:") {
+                continue;
+            }
+            self.in_event |= !line.starts_with(':');
+            if let Some(data) = line.strip_prefix("data:") {
                 if !self.data.is_empty() {
                     self.data.push('\n');
                 }
@@ -61,6 +73,11 @@
         }
         Ok(events)
     }
+
+    /// Returns whether the bytes so far end with a whole event or comment.
+    pub fn is_between_events(&self) -> bool {
+        self.buf.is_empty() && !self.in_event
+    }
 }
 
 #[cfg(test)]
@@ -77,6 +94,14 @@
                 events.extend(decoder.push(chunk).unwrap());
             }
             assert_eq!(events, ["a\nb", "c"], "chunk size {size}");
+            assert!(!decoder.is_between_events(), "an event is cut");
+        }
+        let mut decoder = EventStreamDecoder::default();
+        for (bytes, between) in
+            [(": hello\n", true), ("id: 5\n", false), (": hello\n", false), ("\n", true), (":", false)]
+        {
+            decoder.push(bytes.as_bytes()).unwrap();
+            assert_eq!(decoder.is_between_events(), between, "{bytes:?}");
         }
         assert!(EventStreamDecoder::default().push(b"data: \xff\n").is_err());
         assert!(EventStreamDecoder::new(16).push(b"data: without an end").is_err());
