Write a release again that was stuck behind bytes its viewer did not read

Cause: a release is written again if its connection ends within 1 s of the writing, counted from the queueing, while a connection may stand still for 2 s before it is closed. Evidence, forced on a real process: the release queued at .604, the connection's end 1.88 s later, no further line of that session.

Change: where bytes are left that the system has not accepted, releases of the last 3 s (both times together) are written again; the two constants stand together. 'viewer's connection ended' tells all_written.

--- a/crates/cli/tests/node_releases.rs
+++ b/crates/cli/tests/node_releases.rs
@@ -5,9 +5,9 @@
 #[path = "platform/server_list.rs"]
 mod server_list;
 
-use platform::{read_message, reset_connection, setup_request, teardown_request, Node};
+use platform::{read_message, reset_connection, setup_request, teardown_request, wait_for, Node};
 use server_list::{
-    assert_not_released, assert_released, assert_released_within, tag, wait_until_processed,
+    assert_not_released, assert_released, assert_released_within, establish, tag, wait_until_processed,
     ServerListFixture, RELEASE_TIMEOUT,
 };
 use std::io::Write;
@@ -120,3 +120,52 @@
     server_conn.send_finish(&tag(0xa5), 16);
     assert_released_within(&mut next, 0xa5, LATE_RELEASE_TIMEOUT, "pings only");
 }
+
+/// Guards against the loss of a release that waits in the send queue of a connection whose viewer has stopped reading: the
+/// connection is closed after a time-out, by which the release counted as read.
+#[test]
+fn release_queued_for_a_viewer_that_stopped_reading_is_written_on_the_next_connection() {
+    let mut fixture = ServerListFixture::new("release-stuck");
+    let mut stuck = connect_with_small_receive_buffer(&fixture.node);
+    stuck.write_all(setup_request(0xa6, "clip", 2_000).as_bytes()).unwrap();
+    let mut server_conn = fixture.server.accept();
+    assert_eq!(server_conn.read_start(), Some(tag(0xa6)));
+    establish(&mut stuck, &mut server_conn, 0xa6);
+    fixture.remove_server();
+    fill_socket_buffers(&fixture.node, &mut stuck);
+    let mut next = connect_and_be_refused(&fixture.node, 0xb7);
+    server_conn.send_finish(&tag(0xa6), 16);
+    assert_released_within(&mut next, 0xa6, LATE_RELEASE_TIMEOUT, "the viewer had stopped reading");
+}
+
+/// Requests responses until the system accepts no more of them: its send queue does not grow any more. What waits in the
+/// process stays below the limit at which the connection is closed at once.
+fn fill_socket_buffers(node: &Node, stuck: &mut TcpStream) {
+    let (mut previous, mut unchanged) = (String::new(), 0);
+    wait_for("full socket buffers", || {
+        stuck.write_all(&READINESS_CHECK.repeat(1_000)).unwrap();
+        assert!(node.passes_readiness_check());
+        let queued = unsent_bytes(node, stuck);
+        unchanged = if queued == previous { unchanged + 1 } else { 0 };
+        previous = queued;
+        (unchanged == 5).then_some(())
+    });
+}
+
+/// Number of bytes, in hexadecimal, that the system has yet to send from the session manager to that client.
+fn unsent_bytes(node: &Node, client: &TcpStream) -> String {
+    let ends = [node.address, client.local_addr().unwrap()].map(|a| format!(":{:04X}", a.port()));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let row = rows.find(|r| r[1].ends_with(&ends[0]) && r[2].ends_with(&ends[1])).expect("the connection");
+    row[4][..8].to_owned()
+}
+
+fn connect_with_small_receive_buffer(node: &Node) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(platform::TIMEOUT)).unwrap();
+    stream
+}
--- a/crates/node/src/event_loop/releases.rs
+++ b/crates/node/src/event_loop/releases.rs
@@ -29,8 +29,8 @@
 
     /// Sends releases again on another connection if the viewer may not have read them before its connection
     /// ended. Connections closed for other reasons still write what is queued.
-    pub(super) fn resend_releases(&mut self, conn: ConnId, reason: ViewerCloseReason) {
-        let lost = self.unacknowledged.take_lost(self.clock.now(), conn);
+    pub(super) fn resend_releases(&mut self, conn: ConnId, reason: ViewerCloseReason, all_written: bool) {
+        let lost = self.unacknowledged.take_lost(self.clock.now(), conn, all_written);
         if !matches!(reason, ViewerCloseReason::Closed | ViewerCloseReason::ReadsTooSlowly) {
             return;
         }
--- a/crates/node/src/event_loop/viewers.rs
+++ b/crates/node/src/event_loop/viewers.rs
@@ -110,13 +110,15 @@
 
     /// Drops a viewer's connection and abandons its open set-ups.
     pub(super) fn close_viewer(&mut self, conn: ConnId, reason: ViewerCloseReason) {
-        if self.viewer_conns.remove(&conn).is_some() {
-            tracing::info!(conn = conn.0, end = ?reason, "viewer's connection ended");
+        let mut all_written = true;
+        if let Some(handle) = self.viewer_conns.remove(&conn) {
+            all_written = handle.conn.is_all_written();
+            tracing::info!(conn = conn.0, end = ?reason, all_written, "viewer's connection ended");
         }
         for (viewer, sid) in self.registry.connection_closed(conn) {
             self.inputs.push(Input::Disconnected { viewer, sid });
         }
-        self.resend_releases(conn, reason);
+        self.resend_releases(conn, reason, all_written);
     }
 
     /// Queues bytes for a viewer. Returns false if they will not be delivered.
--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -4,6 +4,7 @@
 use crate::viewer_conn::{ReadyNotifier, Received, ViewerCommand, ViewerConn, ViewerHandle};
 use bytes::BytesMut;
 use cloverhollow_net::{lingering_close, lingering_close_within};
+use cloverhollow_platform::resend::WRITE_TIMEOUT;
 use cloverhollow_platform::rtsp::{self, ReplyTarget};
 use cloverhollow_platform::session_registry::ConnId;
 use std::io::{Error, ErrorKind};
@@ -15,8 +16,6 @@
 
 /// Capacity of a connection's command queue; the queued bytes have a limit of their own.
 const MAX_QUEUED_COMMANDS: usize = 16_384;
-/// Time after which a connection is closed if the viewer accepts none of the bytes written to it.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time within which the first message must be received completely, and any later message once it has begun.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a connection is still read after an error response; closing it with unread data would reset
--- a/crates/node/src/viewer_conn.rs
+++ b/crates/node/src/viewer_conn.rs
@@ -174,6 +174,11 @@
         self.queued_bytes.fetch_add(bytes, Relaxed) + bytes <= MAX_QUEUED_BYTES
     }
 
+    /// Returns whether the system has accepted all bytes that were queued.
+    pub(crate) fn is_all_written(&self) -> bool {
+        self.queued_bytes.load(Relaxed) == 0
+    }
+
     /// Subtracts written bytes from those that wait to be written.
     pub(crate) fn remove_queued(&self, bytes: usize) {
         self.queued_bytes.fetch_sub(bytes, Relaxed);
--- a/crates/platform/tests/resend.rs
+++ b/crates/platform/tests/resend.rs
@@ -1,6 +1,6 @@
 //! Releases that are sent again because the viewer's connection ended.
 
-use cloverhollow_platform::resend::{UnacknowledgedReleases, ASSUMED_READ_AFTER};
+use cloverhollow_platform::resend::{UnacknowledgedReleases, ASSUMED_READ_AFTER, WRITE_TIMEOUT};
 use cloverhollow_platform::session_registry::{ConnId, Release};
 use std::time::Duration;
 
@@ -15,9 +15,13 @@
     let mut releases = UnacknowledgedReleases::default();
     releases.record(NOW, release(1, "a"));
     releases.record(NOW, release(2, "b"));
-    assert_eq!(releases.take_lost(NOW + ASSUMED_READ_AFTER, ConnId(1)), [release(1, "a")]);
-    assert_eq!(releases.take_lost(NOW + ASSUMED_READ_AFTER, ConnId(1)), []);
-    assert_eq!(releases.take_lost(NOW + ASSUMED_READ_AFTER * 2, ConnId(2)), [], "assumed to have been read");
+    assert_eq!(releases.take_lost(NOW + ASSUMED_READ_AFTER, ConnId(1), true), [release(1, "a")]);
+    assert_eq!(releases.take_lost(NOW + ASSUMED_READ_AFTER, ConnId(1), true), []);
+    assert_eq!(
+        releases.take_lost(NOW + ASSUMED_READ_AFTER * 2, ConnId(2), true),
+        [],
+        "assumed to have been read"
+    );
 }
 
 #[test]
@@ -25,5 +29,14 @@
     let mut releases = UnacknowledgedReleases::default();
     releases.record(NOW, release(1, "a"));
     releases.acknowledge("a");
-    assert_eq!(releases.take_lost(NOW, ConnId(1)), []);
+    assert_eq!(releases.take_lost(NOW, ConnId(1), false), []);
+}
+
+/// The release waited for the viewer to read, until the connection was closed for that.
+#[test]
+fn a_release_that_the_system_may_not_have_accepted_is_returned_after_the_write_timeout() {
+    let mut releases = UnacknowledgedReleases::default();
+    releases.record(NOW, release(1, "a"));
+    releases.record(NOW + WRITE_TIMEOUT, release(2, "b"));
+    assert_eq!(releases.take_lost(NOW + WRITE_TIMEOUT, ConnId(1), false), [release(1, "a")]);
 }
