Laboratory: a version of the list is told to a front once, by whichever stream

Cause, traced: after a silence discovery answered two open calls of front-3 in the same instant. The first stream told it versions 27 to 32, the second wrote 27 to 30 again before it was closed. Server 110 drains in 27 and is back in 31 and 32; the checker took the second writing of 27 for newer news. The front's log has each version once, in order.

Change: a version that a front was told of before is not recorded as told again. A repeated version can't hide a drain either any more, as one with a return in it could; told times stay those of the first writing.

Unit test: a_version_that_another_stream_told_before_is_no_news.

--- a/crates/lab/src/standin/channel.rs
+++ b/crates/lab/src/standin/channel.rs
@@ -37,12 +37,30 @@
 /// All fronts' channels.
 pub(super) struct Channels {
     by_front: Mutex<BTreeMap<usize, Channel>>,
+    /// Newest version of the list that each front was told of, by whichever stream.
+    told: Mutex<BTreeMap<usize, u64>>,
     disturbed: watch::Sender<Disturbed>,
 }
 
 impl Default for Channels {
     fn default() -> Self {
-        Channels { by_front: Mutex::default(), disturbed: watch::channel(Disturbed::default()).0 }
+        Channels {
+            by_front: Mutex::default(),
+            told: Mutex::default(),
+            disturbed: watch::channel(Disturbed::default()).0,
+        }
+    }
+}
+
+impl Channels {
+    /// Records that a front is told of a version. Returns false if it was told of it or a later one before, as by another
+    /// stream: that is no news.
+    pub(super) fn is_news(&self, front: usize, version: u64) -> bool {
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let newest = told.entry(front).or_default();
+        let is_news = version > *newest;
+        *newest = version.max(*newest);
+        is_news
     }
 }
 
@@ -162,3 +180,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/standin/platform.rs
+++ b/crates/lab/src/standin/platform.rs
@@ -52,6 +52,7 @@
     pub(crate) fn known(&self, front: usize, host: Ipv4Addr) -> Value {
         let all = self.whole();
         let (stopped, serving) = all.states();
+        self.channels.is_news(front, all.version);
         self.put(Seen::ListTold { front, stopped, serving });
         self.put(Seen::ListAt { front, version: all.version });
         let nodes = json!({"index": all.version, "snapshot": true, "endpoints": self.unix(&all, host)});
@@ -119,8 +120,10 @@
         for piece in [a, b] {
             conn.send(ResponseFrame::Data(Bytes::copy_from_slice(piece.as_bytes()))).await.ok()?;
         }
-        let (stopped, serving) = p.states();
-        self.put(Seen::ListTold { front, stopped, serving });
+        if self.channels.is_news(front, p.version) {
+            let (stopped, serving) = p.states();
+            self.put(Seen::ListTold { front, stopped, serving });
+        }
         self.put(Seen::ListAt { front, version: p.version });
         Some(())
     }
