A call that waited for a refusal is no stream that lasted

A crowded channel that lets each call wait before it refuses it was called again within 0.2 s each time: the back-off took the time from the call for the time that a stream lasted, and began anew.

Change: a stream lasts from its answer on.

Measured: waiting_for_a_refusal_does_not_reset_the_back_off red before, green after.

--- a/crates/platform/src/call_schedule.rs
+++ b/crates/platform/src/call_schedule.rs
@@ -26,8 +26,8 @@
 struct OpenCall {
     number: u64,
     called_at: Duration,
-    /// True once the head of the response has arrived.
-    answered: bool,
+    /// Time at which the head of the response arrived.
+    answered_at: Option<Duration>,
 }
 
 /// Open calls of one session manager at its command channel, and the time of the next one.
@@ -81,7 +81,7 @@
             self.open.remove(1);
         }
         self.last_number += 1;
-        self.open.push(OpenCall { number: self.last_number, called_at: now, answered: false });
+        self.open.push(OpenCall { number: self.last_number, called_at: now, answered_at: None });
         self.next_call_at = now + self.patience.mul_f64(1.0 + PATIENCE_JITTER * self.rng.f64());
         self.patience = (self.patience * 2).min(MAX_PATIENCE);
         self.last_number
@@ -90,9 +90,9 @@
     /// Handles the head of a response. Later calls that still wait for theirs are closed.
     pub fn answered(&mut self, now: Duration, number: u64) {
         let Some(call) = self.open.iter_mut().find(|call| call.number == number) else { return };
-        call.answered = true;
+        call.answered_at = Some(now);
         self.response_time = now.saturating_sub(call.called_at);
-        self.open.retain(|call| call.answered || call.number < number);
+        self.open.retain(|call| call.answered_at.is_some() || call.number < number);
         self.data_received(now);
     }
 
@@ -119,10 +119,12 @@
         if useful {
             self.reset_patience();
         }
-        let due = now + self.backoff.next_delay(now.saturating_sub(call.called_at), useful);
+        // A call that waited long and was refused is no stream that lasted.
+        let lasted = call.answered_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let due = now + self.backoff.next_delay(lasted, useful);
         if self.open.is_empty() {
             self.next_call_at = due;
-        } else if self.open.iter().all(|call| call.answered) {
+        } else if self.open.iter().all(|call| call.answered_at.is_some()) {
             self.next_call_at = self.next_call_at.min(due);
         }
     }
--- a/crates/platform/tests/call_schedule.rs
+++ b/crates/platform/tests/call_schedule.rs
@@ -51,3 +51,19 @@
     schedule.ended(at, first, false);
     assert!(schedule.next_call_at() <= at + MAX_DELAY);
 }
+
+/// A crowded channel that refuses each call after 2 s is called after growing delays, as if it refused at once.
+#[test]
+fn waiting_for_a_refusal_does_not_reset_the_back_off() {
+    let longest_delay = |seed| {
+        let mut schedule = CallSchedule::new(seed);
+        let delays = (0..8).map(|_| {
+            let (number, at) = next_call(&mut schedule);
+            let refused_at = at + Duration::from_secs(2);
+            schedule.ended(refused_at, number, false);
+            schedule.next_call_at() - refused_at
+        });
+        delays.max().unwrap()
+    };
+    assert!((0..50).map(longest_delay).all(|delay| delay > MAX_DELAY / 4 && delay <= MAX_DELAY));
+}
