Laboratory: versions behind a gap are told anew when they come again from the gap on

A front is then told the next one, refuses it for the gap and asks again; the version left out comes first now, with server 106 back in service, and was not recorded as it was below the newest one told. The checker went on taking 106 for draining.

Change: a version is no news only if the front was told of all versions up to it. Single streams are recorded exactly as before.

--- a/crates/lab/src/standin/channel.rs
+++ b/crates/lab/src/standin/channel.rs
@@ -37,7 +37,7 @@
 /// All fronts' channels.
 pub(super) struct Channels {
     by_front: Mutex<BTreeMap<usize, Channel>>,
-    /// Newest version of the list that each front was told of, by whichever stream.
+    /// Version of the list up to which each front was told of all, by whichever stream.
     told: Mutex<BTreeMap<usize, u64>>,
     disturbed: watch::Sender<Disturbed>,
 }
@@ -53,14 +53,21 @@
 }
 
 impl Channels {
-    /// Records that a front is told of a version. Returns false if it was told of it or a later one before, as by another
-    /// stream: that is no news.
+    /// Records that a front is told of the whole list.
+    pub(super) fn told_whole(&self, front: usize, version: u64) {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner).insert(front, version);
+    }
+
+    /// Records that a front is told of a version. Returns false if it was told of it before and of all versions up to it,
+    /// as by another stream: that is no news. After a gap, versions are told again from the gap on.
     pub(super) fn is_news(&self, front: usize, version: u64) -> bool {
         let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
-        let newest = told.entry(front).or_default();
-        let is_news = version > *newest;
-        *newest = version.max(*newest);
-        is_news
+        let told = told.entry(front).or_default();
+        if version == *told + 1 {
+            *told = version;
+            return true;
+        }
+        version > *told
     }
 }
 
--- a/crates/lab/src/standin/platform.rs
+++ b/crates/lab/src/standin/platform.rs
@@ -52,7 +52,7 @@
     pub(crate) fn known(&self, front: usize, host: Ipv4Addr) -> Value {
         let all = self.whole();
         let (stopped, serving) = all.states();
-        self.channels.is_news(front, all.version);
+        self.channels.told_whole(front, all.version);
         self.put(Seen::ListTold { front, stopped, serving });
         self.put(Seen::ListAt { front, version: all.version });
         let nodes = json!({"index": all.version, "snapshot": true, "endpoints": self.unix(&all, host)});
