Review case 7: sessions are ended at a server whose connections are all taken

Need: two refused connections in a row count as the end of a video server's process, though its connection to the session manager is open and its sessions stand. They are released towards their viewers as cut, never at the server, and more sessions of a title stand than there are seats.

Change: the case, with a server at its 820 connections (cap_per_core and cores of the site file).

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 //! the disruption.
 
 mod channel;
+mod full_table;
 mod manager;
 mod record;
 mod server;
@@ -41,12 +42,18 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, verb, address, count] = &args[..] {
+        if verb == "hold" {
+            return full_table::hold(address, count.parse().unwrap());
+        }
+    }
     let [_, case, path] = &args[..] else {
         eprintln!("review-2 CASE RECORD");
         std::process::exit(2);
     };
     let record = Record::create(path);
     let run = || match &**case {
+        "full-table" => full_table::run(&Platform::start(&record, 3, 4_900)),
         "stall-first" => stall_first::run(&Platform::start(&record, 3, 4_900)),
         _ => Err("no such case".to_owned()),
     };
