Review case 8: a session manager that stood still sends to a server that drains

Need: after a pause of 1.9 s viewers' set-ups are decided on before the drain that the command channel told meanwhile is read.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod manager;
 mod record;
 mod server;
+mod stall;
 mod stall_first;
 mod viewers;
 
@@ -54,6 +55,7 @@
     let record = Record::create(path);
     let run = || match &**case {
         "full-table" => full_table::run(&Platform::start(&record, 3, 4_900)),
+        "stall" => stall::run(&Platform::start(&record, 3, 4_900)),
         "stall-first" => stall_first::run(&Platform::start(&record, 3, 4_900)),
         _ => Err("no such case".to_owned()),
     };
