Review case 10: a release during a planned restart finds no viewer's connection

Need: 3.6 s after SIGTERM a session manager closes the connections of viewers whose sessions stand, and goes on hearing video servers until 5.7 s (longest deadline 5 s). What they release meanwhile is forgotten when it ends.

Change: the case: a release 4.2 s after SIGTERM, and the next start.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,6 +10,7 @@
 mod server;
 mod stall;
 mod stall_first;
+mod term;
 mod vanish;
 mod viewers;
 
@@ -58,6 +59,7 @@
         "full-table" => full_table::run(&Platform::start(&record, 3, 4_900)),
         "stall" => stall::run(&Platform::start(&record, 3, 4_900)),
         "stall-first" => stall_first::run(&Platform::start(&record, 3, 4_900)),
+        "term" => term::run(&Platform::start(&record, 3, 4_900)),
         "vanish" => vanish::run(&Platform::start(&record, 5, vanish::TOLD_EVERY_MS)),
         _ => Err("no such case".to_owned()),
     };
