Review stand-ins: temporary folders go, each life's log stays in the record

Need: a script left its temporary folder behind, and the log of a first life was overwritten by the second's.

--- a/review/standin-2/src/manager.rs
+++ b/review/standin-2/src/manager.rs
@@ -26,6 +26,8 @@
     folder: PathBuf,
     record: Record,
     child: Child,
+    /// Number of its starts before this one.
+    starts: usize,
 }
 
 /// What the deployment's settings vary between cases.
@@ -67,7 +69,7 @@
         drop(free);
         let folder = std::env::temp_dir().join(format!("review-2-{}-n{index}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        Manager::start_at(record, site, index, channel, address, folder)
+        Manager::start_at(record, site, index, channel, address, folder, 0)
     }
 
     fn start_at(
@@ -77,6 +79,7 @@
         channel: &Channel,
         address: SocketAddr,
         folder: PathBuf,
+        starts: usize,
     ) -> Manager {
         let name = format!("n{index}");
         let config = format!(
@@ -92,7 +95,9 @@
         let deploy =
             std::fs::read_to_string("deploy/balancer.toml").expect("started from the repository's root");
         let run = deploy.lines().find_map(|l| l.strip_prefix("run = \"")?.strip_suffix('"')).expect("`run`");
-        let log = |kind: &str| Stdio::from(File::create(folder.join(kind)).expect("a log file"));
+        let log = |kind: &str| {
+            Stdio::from(File::create(folder.join(format!("{kind}-{starts}"))).expect("a log file"))
+        };
         let mut command = Command::new("/bin/sh");
         // The session manager ends with the script, however that ends.
         unsafe { command.pre_exec(|| Ok(_ = prctl(PR_SET_PDEATHSIG, 9))) };
@@ -108,7 +113,7 @@
             .spawn()
             .expect("`run` can be started");
         record.line(&name, format!("started: {run}, process {}, at {address}", child.id()));
-        let manager = Manager { name, address, folder, record: record.clone(), child };
+        let manager = Manager { name, address, folder, record: record.clone(), child, starts };
         let passed = wait_for(10.0, || {
             Viewers::connect(record, "test", address).is_ok_and(|connection| connection.test(1.0))
         });
@@ -118,8 +123,10 @@
 
     /// Starts it again from nothing, under its name and address.
     pub fn restart(&mut self, site: &Site, index: usize, channel: &Channel) {
-        let next = Manager::start_at(&self.record, site, index, channel, self.address, self.folder.clone());
-        let _ = std::mem::replace(self, next);
+        let (folder, starts) = (self.folder.clone(), self.starts + 1);
+        let next = Manager::start_at(&self.record, site, index, channel, self.address, folder, starts);
+        // The folder goes with the last life.
+        std::mem::replace(self, next).folder = PathBuf::new();
     }
 
     pub fn signal(&self, signal: i32, name: &str) -> f64 {
@@ -139,9 +146,14 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let log = std::fs::read_to_string(self.folder.join("err")).unwrap_or_default();
-        for line in log.lines() {
-            self.record.line(&format!("{}'s log", self.name), line);
+        for start in 0..=self.starts {
+            let log = std::fs::read_to_string(self.folder.join(format!("err-{start}"))).unwrap_or_default();
+            for line in log.lines() {
+                self.record.line(&format!("{}'s log", self.name), line);
+            }
+        }
+        if self.folder.is_absolute() {
+            let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
 }
