--- a/review/standin-2/src/full_table.rs
+++ b/review/standin-2/src/full_table.rs
@@ -2,7 +2,7 @@
 
 use crate::manager::{Manager, Site};
 use crate::record::{sleep, wait_for};
-use crate::server::Server;
+use crate::server::{AtCap, Server};
 use crate::viewers::{session, title, Setup, Viewers};
 use crate::{Platform, Verdict};
 use std::io::Read;
@@ -37,10 +37,14 @@
 }
 
 pub fn run(p: &Platform) -> Verdict {
-    let silent = std::env::var("FULL").as_deref() == Ok("silent");
+    let at_cap = match std::env::var("FULL").as_deref() {
+        Ok("silent") => AtCap::Silent,
+        Ok("reset") => AtCap::Reset,
+        _ => AtCap::Refuse,
+    };
     for server in &p.servers {
         server.cap.store(CAP, SeqCst);
-        server.silent_at_cap.store(silent, SeqCst);
+        *server.at_cap.lock().unwrap() = at_cap;
     }
     let site = Site { managers: 2, places: 3, told_every_ms: 4_900, seats: SEATS };
     let manager = Manager::start(&p.record, &site, 0, &p.channel);
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -13,6 +13,19 @@
 
 extern "C" {
     fn listen(fd: i32, backlog: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], len: u32) -> i32;
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
+/// What happens to a connection past the most that a server takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AtCap {
+    Refuse,
+    /// It does not come up.
+    Silent,
+    Reset,
 }
 
 /// What a server knows of one session.
@@ -40,8 +53,8 @@
     last_conn: AtomicU64,
     /// Most connections that it takes.
     pub cap: AtomicUsize,
-    /// At its cap: true = it takes no connection from the queue, false = it refuses them.
-    pub silent_at_cap: AtomicBool,
+    /// What happens to further ones.
+    pub at_cap: Mutex<AtCap>,
     /// The machine has vanished: nothing is read, written or accepted any more.
     pub vanished: AtomicBool,
     /// Link load that its notes tell.
@@ -66,7 +79,7 @@
             conns: Mutex::default(),
             last_conn: AtomicU64::new(0),
             cap: AtomicUsize::new(usize::MAX),
-            silent_at_cap: AtomicBool::new(false),
+            at_cap: Mutex::new(AtCap::Refuse),
             vanished: AtomicBool::new(false),
             load: Mutex::new(0.2),
             last_note_at: Mutex::new(0.0),
@@ -109,7 +122,16 @@
                 return std::mem::forget(listener);
             }
             let full = self.open_connections() >= self.cap.load(SeqCst);
-            if full && self.silent_at_cap.load(SeqCst) {
+            let at_cap = *self.at_cap.lock().unwrap();
+            if full && at_cap == AtCap::Reset {
+                if let Some(Ok((stream, _))) = listener.as_ref().map(|l| l.accept()) {
+                    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+                    drop(stream);
+                    self.record.line(&self.name, "reset a new connection");
+                }
+                continue;
+            }
+            if full && at_cap == AtCap::Silent {
                 if self.filler.lock().unwrap().is_empty() {
                     let l = listener.as_ref().expect("it listens");
                     self.block(l, "all its connections are taken: further ones do not come up");
