--- a/review/standin-2/src/full_table.rs
+++ b/review/standin-2/src/full_table.rs
@@ -38,9 +38,9 @@
 
 pub fn run(p: &Platform) -> Verdict {
     let at_cap = match std::env::var("FULL").as_deref() {
-        Ok("silent") => AtCap::Silent,
+        Ok("refuse") => AtCap::Refuse,
         Ok("reset") => AtCap::Reset,
-        _ => AtCap::Refuse,
+        _ => AtCap::Silent,
     };
     for server in &p.servers {
         server.cap.store(CAP, SeqCst);
