--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With `TROUBLE=0` the same is done without
 //! the disruption.
 
+mod bad_figures;
 mod channel;
 mod full_table;
 mod manager;
@@ -10,6 +11,7 @@
 mod server;
 mod stall;
 mod stall_first;
+mod stall_late;
 mod term;
 mod vanish;
 mod viewers;
@@ -59,6 +61,8 @@
         "full-table" => full_table::run(&Platform::start(&record, 3, 4_900)),
         "stall" => stall::run(&Platform::start(&record, 3, 4_900)),
         "stall-first" => stall_first::run(&Platform::start(&record, 3, 4_900)),
+        "stall-late" => stall_late::run(&Platform::start(&record, 6, 4_900)),
+        "bad-figures" => bad_figures::run(&Platform::start(&record, 3, 4_900)),
         "term" => term::run(&Platform::start(&record, 3, 4_900)),
         "vanish" => vanish::run(&Platform::start(&record, 5, vanish::TOLD_EVERY_MS)),
         _ => Err("no such case".to_owned()),
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -57,6 +57,8 @@
     pub at_cap: Mutex<AtCap>,
     /// The machine has vanished: nothing is read, written or accepted any more.
     pub vanished: AtomicBool,
+    /// The process takes set-ups and answers none.
+    pub hangs: AtomicBool,
     /// Link load that its notes tell.
     pub load: Mutex<f64>,
     pub last_note_at: Mutex<f64>,
@@ -81,6 +83,7 @@
             cap: AtomicUsize::new(usize::MAX),
             at_cap: Mutex::new(AtCap::Refuse),
             vanished: AtomicBool::new(false),
+            hangs: AtomicBool::new(false),
             load: Mutex::new(0.2),
             last_note_at: Mutex::new(0.0),
             work: Duration::from_millis(work_ms),
--- a/review/standin-2/src/server/says.rs
+++ b/review/standin-2/src/server/says.rs
@@ -9,7 +9,7 @@
     /// Runs a set-up: after its work the session stands, unless it was given up.
     pub(super) fn run(&self, conn: u64, sid: &str) {
         std::thread::sleep(self.work);
-        if self.vanished.load(SeqCst) {
+        if self.vanished.load(SeqCst) || self.hangs.load(SeqCst) {
             return;
         }
         let connected = self.conns.lock().unwrap().contains_key(&conn);
