Probe a silent video server in time for the limit on releases

With told-every 0 never.

Cause: LinkMonitor probed a server after told-every and 1 s of silence, and not where told-every is 0; with the connect time-out and the 2 s of proof that is over 8 s above 4.75 s. A set-up out on another connection held the probe back.

Evidence: the log of the case: the probe due at 5.9 s after the last note begins at 6.29 s, right after the set-up there has timed out.

Change: the silence allowed is the limit less what the proof takes; a probe has 2 s at most to connect, and waits for no set-up. The proof itself is unchanged. DEFAULT_CONNECT_TIMEOUT stood twice; the one in platform::settings stays.

--- a/crates/node/src/event_loop/tests.rs
+++ b/crates/node/src/event_loop/tests.rs
@@ -65,7 +65,7 @@
             persistence: None,
         };
         let core = Core::new(SessionPolicy::new(site.settings.clone(), 1), core_config, 1);
-        let link_monitor = LinkMonitor::new(Duration::ZERO, site.idle_close, 8);
+        let link_monitor = LinkMonitor::new(site.link_monitor_config(8));
         let (event_tx, event_rx) = mpsc::channel(crate::messages::MAX_QUEUED_EVENTS);
         let (ready_tx, ready_rx) = mpsc::channel(64);
         let (position_tx, _) =
--- a/crates/node/src/event_loop/updates/tests.rs
+++ b/crates/node/src/event_loop/updates/tests.rs
@@ -37,7 +37,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let core = Core::new(SessionPolicy::new(site.settings.clone(), 7), site.core_config(), 7);
-        let link_monitor = LinkMonitor::new(site.settings.report_interval, site.idle_close, 8);
+        let link_monitor = LinkMonitor::new(site.link_monitor_config(8));
         let limits =
             Limits { max_conns: 8, max_open_setups: 8, max_open_setups_per_conn: 8, shutdown: SHUTDOWN };
         let queues = Queues { event_tx, ready_rx: mpsc::channel(8).1 };
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -25,9 +25,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Connect time-out if the settings contain none.
-const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A connection to a video server.
 struct Link {
     server: ServerId,
@@ -63,15 +60,12 @@
 }
 
 impl Links {
-    /// A `connect_timeout` of zero selects [`DEFAULT_CONNECT_TIMEOUT`].
     pub(crate) fn new(
         monitor: LinkMonitor,
         clock: Clock,
         connect_timeout: Duration,
         event_tx: mpsc::Sender<LoopEvent>,
     ) -> Self {
-        let connect_timeout =
-            if connect_timeout.is_zero() { DEFAULT_CONNECT_TIMEOUT } else { connect_timeout };
         let (links, open_setups, queued_lines) = (HashMap::new(), HashMap::new(), HashMap::new());
         Links { monitor, clock, connect_timeout, event_tx, links, open_setups, queued_lines, last_id: 0 }
     }
@@ -122,11 +116,19 @@
         self.last_id += 1;
         let id = LinkId(self.last_id);
         let send_decision = first.as_ref().map(|f| f.send_decision.clone()).unwrap_or_default();
-        let target = LinkTarget { id, address, connect_timeout: self.connect_timeout };
+        let connect_timeout = match &first {
+            Some(_) => self.connect_timeout,
+            None => self.monitor.probe_timeout(),
+        };
+        let target = LinkTarget { id, address, connect_timeout };
         let handle = link::spawn(target, first, self.event_tx.clone());
         if let Some((attempt, _)) = &open_setup {
             self.open_setups.insert(*attempt, id);
         }
+        match &open_setup {
+            Some(_) => self.monitor.link_opening_for_setup(server, id),
+            None => self.monitor.link_opening(server, id),
+        }
         let last_session = open_setup.as_ref().map(|(_, sid)| sid.clone());
         tracing::debug!(link = id.0, server, %address, session = ?last_session, "connecting to a video server");
         let opened_at = self.clock.now();
@@ -146,7 +148,6 @@
                 send_decision,
             },
         );
-        self.monitor.link_opening(server, id);
     }
 
     pub(crate) fn link_up(&mut self, id: LinkId) {
@@ -154,7 +155,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         link.is_up = true;
         let server = link.server;
-        self.monitor.link_up(now, server);
+        self.monitor.link_up(now, server, id);
         if link.open_setup.is_none() {
             self.monitor.link_idle(now, server, id);
         }
--- a/crates/node/src/links/tests/mod.rs
+++ b/crates/node/src/links/tests/mod.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::messages::MAX_QUEUED_EVENTS;
 use cloverhollow_platform::lines::Verb;
+use cloverhollow_platform::link_monitor::LinkMonitorConfig;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -22,7 +23,12 @@
 impl Fixture {
     async fn new() -> Fixture {
         let (event_tx, event_rx) = mpsc::channel(MAX_QUEUED_EVENTS);
-        let monitor = LinkMonitor::new(Duration::from_secs(2), Duration::from_secs(60), 8);
+        let monitor = LinkMonitor::new(LinkMonitorConfig {
+            report_interval: Duration::from_secs(2),
+            idle_close: Duration::from_secs(60),
+            connect_timeout: Duration::from_secs(5),
+            max_idle: 8,
+        });
         let links = Links::new(monitor, Clock::start(), Duration::from_secs(5), event_tx);
         Fixture { links, event_rx, listener: TcpListener::bind("127.0.0.1:0").await.unwrap(), setups_sent: 0 }
     }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -91,7 +91,7 @@
     let settings = site.settings.clone();
     let core = Core::new(SessionPolicy::new(settings.clone(), seed), site.core_config(), seed);
     // A server with established sessions sends a link report on one of them every `report_interval`.
-    let link_monitor = LinkMonitor::new(settings.report_interval, site.idle_close, limits.sockets / 8);
+    let link_monitor = LinkMonitor::new(site.link_monitor_config(limits.sockets / 8));
     let loop_limits = Limits {
         max_conns: limits.sockets / 2,
         max_open_setups: limits.sockets / 4,
--- a/crates/platform/src/link_monitor.rs
+++ b/crates/platform/src/link_monitor.rs
@@ -6,8 +6,14 @@
 //! The newest link to a server stays open for messages about established sessions; older ones are closed a while after
 //! their set-up.
 
+mod config;
+mod server_links;
+
+pub use config::LinkMonitorConfig;
+
 use cloverhollow::ServerId;
-use std::collections::{BTreeMap, HashMap};
+use server_links::{LinkState, ServerLinks};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Id of a connection to a video server. The event loop never reuses one, and ids grow in the order of opening.
@@ -31,15 +37,6 @@
 const MAX_REFUSED: u32 = 2;
 /// Time without a successful connection and without a message after which the machine counts as gone.
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(2);
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LinkState {
-    /// Being opened, or carrying a set-up.
-    Busy,
-    /// Up, and without a set-up since the given time.
-    Idle(Duration),
-}
-
 /// Reason for which a link ended or could not be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkEndReason {
@@ -55,20 +52,6 @@
     Corrupt,
 }
 
-#[derive(Debug, Default)]
-struct ServerLinks {
-    links: BTreeMap<LinkId, LinkState>,
-    /// Time of the last message from the server.
-    last_received: Duration,
-    /// Number of consecutive refused connections.
-    refused: u32,
-    /// Time of the first connect time-out since the server was last reached; `None` if there was none.
-    unreachable_since: Option<Duration>,
-    /// Earliest time to open the next link.
-    next_open: Duration,
-    reconnect_delay: Duration,
-}
-
 /// Action for the event loop to carry out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkAction {
@@ -84,31 +67,34 @@
 #[derive(Debug)]
 pub struct LinkMonitor {
     servers: HashMap<ServerId, ServerLinks>,
-    /// Time without a message after which a server with sessions is probed by a new link.
+    /// Time without a message after which a server with sessions is probed by a new link, see
+    /// [`LinkMonitorConfig::max_silence`].
     max_silence: Duration,
     /// Time without a set-up after which a link carries none any more.
     stale_after: Duration,
+    /// Time after which a link that is being opened to probe a server counts as failed.
+    probe_timeout: Duration,
     /// Maximum number of idle links, over all servers.
     max_idle: usize,
 }
 
 impl LinkMonitor {
     /// Creates a monitor without links.
-    ///
-    /// A server with established sessions sends at least one message per `report_interval`; zero if it need not.
-    /// Servers close links that are idle for `idle_close`; zero if unknown, and then no link carries a second set-up.
-    /// `max_idle` bounds the number of idle links over all servers.
-    pub fn new(report_interval: Duration, idle_close: Duration, max_idle: usize) -> Self {
-        let max_silence =
-            if report_interval.is_zero() { Duration::MAX } else { report_interval + Duration::from_secs(1) };
+    pub fn new(config: LinkMonitorConfig) -> Self {
         LinkMonitor {
             servers: HashMap::new(),
-            max_silence,
-            stale_after: idle_close.mul_f64(IDLE_TIMEOUT_FRACTION),
-            max_idle,
+            max_silence: config.max_silence(),
+            stale_after: config.idle_close.mul_f64(IDLE_TIMEOUT_FRACTION),
+            probe_timeout: config.probe_timeout(),
+            max_idle: config.max_idle,
         }
     }
 
+    /// Time after which a link that is being opened to probe a server counts as failed.
+    pub fn probe_timeout(&self) -> Duration {
+        self.probe_timeout
+    }
+
     /// Takes a link for a set-up: the newest that is idle and not stale. Returns `None` if there is none, if a recent
     /// connection to the server has failed, or if the set-up may be executed only once and the server has been silent
     /// for too long.
@@ -124,14 +110,22 @@
         Some(*id)
     }
 
-    /// Adds a link that is being opened, for a set-up or to probe the server.
+    /// Adds a link that is being opened to probe the server, or for messages that wait.
     pub fn link_opening(&mut self, server: ServerId, link: LinkId) {
-        self.servers.entry(server).or_default().links.insert(link, LinkState::Busy);
+        self.servers.entry(server).or_default().links.insert(link, LinkState::Probing);
     }
 
-    /// Records that a link to the server has been established.
-    pub fn link_up(&mut self, now: Duration, server: ServerId) {
+    /// Adds a link that is being opened for a set-up.
+    pub fn link_opening_for_setup(&mut self, server: ServerId, link: LinkId) {
+        self.servers.entry(server).or_default().links.insert(link, LinkState::OpeningForSetup);
+    }
+
+    /// Records that a link to the server has been established. It counts as busy until [`LinkMonitor::link_idle`].
+    pub fn link_up(&mut self, now: Duration, server: ServerId, link: LinkId) {
         let Some(state) = self.servers.get_mut(&server) else { return };
+        if let Some(opened) = state.links.get_mut(&link) {
+            *opened = LinkState::Busy;
+        }
         (state.refused, state.unreachable_since, state.reconnect_delay) = (0, None, Duration::ZERO);
         state.last_received = state.last_received.max(now);
     }
@@ -220,10 +214,7 @@
                 actions.push(LinkAction::EndSessions(*id));
                 continue;
             }
-            let busy = state.links.values().any(|l| *l == LinkState::Busy);
-            let silent = state.last_received.saturating_add(self.max_silence) <= now
-                || state.unreachable_since.is_some();
-            if (newest.is_none() || silent) && !busy && state.next_open <= now {
+            if state.next_open <= now && state.needs_link(now, self.max_silence) {
                 actions.push(LinkAction::Open(*id));
             }
         }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -4,6 +4,7 @@
 mod numbers;
 mod wire;
 
+use crate::link_monitor::LinkMonitorConfig;
 use cloverhollow::{Class, Limits, RetryBudget, Rules, Rung, Settings, Tenant};
 use cloverhollow_session::{ClassConfig, CoreConfig};
 use numbers::Whole;
@@ -176,6 +177,16 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 
 impl SiteSettings {
+    /// Parameters for monitoring the connections to video servers, of which `max_idle` may be idle.
+    pub fn link_monitor_config(&self, max_idle: usize) -> LinkMonitorConfig {
+        LinkMonitorConfig {
+            report_interval: self.settings.report_interval,
+            idle_close: self.idle_close,
+            connect_timeout: self.connect_timeout,
+            max_idle,
+        }
+    }
+
     /// Configuration of the session core for these settings.
     pub fn core_config(&self) -> CoreConfig {
         let s = &self.settings;
--- a/crates/platform/tests/link_monitor.rs
+++ b/crates/platform/tests/link_monitor.rs
@@ -1,12 +1,18 @@
 //! Connections to video servers: which stay open, when they are reopened, and when the sessions at a server count as
 //! lost.
 
-use cloverhollow_platform::link_monitor::{LinkAction, LinkEndReason, LinkId, LinkMonitor};
+use cloverhollow_platform::link_monitor::{
+    LinkAction, LinkEndReason, LinkId, LinkMonitor, LinkMonitorConfig,
+};
 use std::time::Duration;
 
 const SERVER: u64 = 7;
-const REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
-const IDLE_CLOSE: Duration = Duration::from_secs(15);
+const CONFIG: LinkMonitorConfig = LinkMonitorConfig {
+    report_interval: Duration::from_millis(2_500),
+    idle_close: Duration::from_secs(15),
+    connect_timeout: Duration::from_millis(250),
+    max_idle: 8,
+};
 
 fn at(ms: u64) -> Duration {
     Duration::from_secs(100) + Duration::from_millis(ms)
@@ -14,9 +20,9 @@
 
 /// A server with an established session and one link, which is up and idle since `at(0)`.
 fn with_session() -> LinkMonitor {
-    let mut monitor = LinkMonitor::new(REPORT_INTERVAL, IDLE_CLOSE, 8);
+    let mut monitor = LinkMonitor::new(CONFIG);
     monitor.link_opening(SERVER, LinkId(1));
-    monitor.link_up(at(0), SERVER);
+    monitor.link_up(at(0), SERVER, LinkId(1));
     monitor.link_idle(at(0), SERVER, LinkId(1));
     monitor.session_established(at(0), SERVER);
     monitor
@@ -96,10 +102,10 @@
 
 #[test]
 fn idle_links_are_bounded_and_the_oldest_closed_first() {
-    let mut monitor = LinkMonitor::new(REPORT_INTERVAL, IDLE_CLOSE, 2);
+    let mut monitor = LinkMonitor::new(LinkMonitorConfig { max_idle: 2, ..CONFIG });
     for i in 1..=4 {
         monitor.link_opening(i, LinkId(i));
-        monitor.link_up(at(i), i);
+        monitor.link_up(at(i), i, LinkId(i));
         monitor.link_idle(at(i), i, LinkId(i));
     }
     assert_eq!(monitor.poll(at(10), |_| false), [LinkAction::Close(LinkId(1)), LinkAction::Close(LinkId(2))]);
@@ -145,7 +151,7 @@
     monitor.link_opening(SERVER, LinkId(2));
     monitor.link_down(at(120), SERVER, LinkId(2), LinkEndReason::Refused);
     monitor.link_opening(SERVER, LinkId(3));
-    monitor.link_up(at(400), SERVER);
+    monitor.link_up(at(400), SERVER, LinkId(3));
     monitor.link_down(at(410), SERVER, LinkId(3), LinkEndReason::Refused);
     assert!(!poll(&mut monitor, 3_000).contains(&LinkAction::EndSessions(SERVER)));
 }
@@ -180,7 +186,7 @@
     let mut monitor = with_session();
     assert_eq!(poll(&mut monitor, 3_600), [LinkAction::Open(SERVER)]);
     monitor.link_opening(SERVER, LinkId(2));
-    monitor.link_up(at(3_610), SERVER);
+    monitor.link_up(at(3_610), SERVER, LinkId(2));
     monitor.link_idle(at(3_610), SERVER, LinkId(2));
     assert_eq!(poll(&mut monitor, 3_650), [LinkAction::Close(LinkId(1))], "the newer link stays");
     // A connect that timed out, and then a message on an older link.
