Handle viewers' messages in turns and within the memory limit

Seen by callers: 300 connections that send OPTIONS at full speed: 73 to 75 MB with memory_mb 32, and 276 of 276 usual set-ups refused; 30 that read nothing: 61 MB.

Cause: what clients had sent was handled all at once, in any amount. The limit on received messages counted a third of what they take, responses had none over all, and a step of the event loop handled every message of every connection, and went on with the next while more came.

Change: received messages and responses may take a sixteenth of memory_mb each; connections take turns of 4 messages, 64 a step, and other tasks run between two steps; a client that does not read has its turn once it has read. What is not handled yet still stops a set-up whose viewer has left. listen, viewer_conn, event_loop and rtsp are split.

--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -6,9 +6,11 @@
 
 mod commands;
 mod lines;
+mod receive;
 mod releases;
 mod servers;
 mod shutdown;
+mod steps;
 mod updates;
 mod viewers;
 
@@ -18,7 +20,7 @@
 use crate::gossip::GossipSocket;
 use crate::links::{EndedSetup, LineSource, Links, OutgoingSetup};
 use crate::messages::LoopEvent;
-use crate::viewer_conn::{Received, SetupWaiter, ViewerHandle};
+use crate::viewer_conn::{Received, ReceivedBatch, SetupWaiter, ViewerHandle};
 use bytes::Bytes;
 use cloverhollow::{ServerId, SessionPolicy};
 use cloverhollow_net::{unix_ms, Clock};
@@ -37,6 +39,7 @@
     invariants_hold, Answer, AttemptEnd, AttemptId, CancelReason, Command, Core, EndReason, Input,
     ListUpdate, Load, SessionId, Setup, ViewerId, WireState, INVARIANT_EXIT_CODE,
 };
+use receive::MAX_MESSAGES_PER_STEP;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +95,8 @@
     viewer_conns: HashMap<ConnId, ViewerHandle>,
     /// Viewers' connections that have received something.
     ready_rx: mpsc::Receiver<ConnId>,
+    /// Number of messages from viewers that may be handled before the next step.
+    message_budget: usize,
     last_viewer_id: u64,
     /// Inputs for the next step of the core.
     inputs: Vec<CoreInput>,
@@ -132,6 +137,7 @@
             channel_position,
             viewer_conns: HashMap::new(),
             ready_rx,
+            message_budget: MAX_MESSAGES_PER_STEP,
             last_viewer_id: 0,
             inputs: Vec::new(),
             terminating_since: None,
@@ -142,90 +148,13 @@
         }
     }
 
-    /// Runs until the process is to end and no answer is pending. Bytes that are then still queued for
-    /// viewers are written by the connections' tasks.
-    pub(crate) async fn run(mut self, mut event_rx: mpsc::Receiver<LoopEvent>) {
-        let mut events = Vec::with_capacity(MAX_EVENTS_PER_STEP);
-        loop {
-            let now = self.clock.now();
-            let next_maintenance = self.last_maintenance + MAINTENANCE_INTERVAL;
-            let due = self.core.next_deadline().map_or(next_maintenance, |d| d.min(next_maintenance));
-            tokio::select! {
-                n = event_rx.recv_many(&mut events, MAX_EVENTS_PER_STEP) => if n == 0 { return },
-                Some(conn) = self.ready_rx.recv() => self.receive_from(conn),
-                () = tokio::time::sleep_until(self.clock.instant(due.max(now))) => {}
-            }
-            for event in events.drain(..) {
-                self.handle_event(event);
-            }
-            self.step_and_maintain().await;
-            if self.is_shutdown_due(|schedule| schedule.exit_after)
-                && self.registry.pending_setups() == 0
-                && event_rx.is_empty()
-                && self.ready_rx.is_empty()
-            {
-                return self.finish().await;
-            }
-        }
-    }
-
-    /// Runs one step of the core, and the maintenance of connections if it is due.
-    async fn step_and_maintain(&mut self) {
-        let answered = self.apply_inputs();
-        if answered {
-            // Lets the connections' tasks write the answers now, without waiting for the next decisions.
-            tokio::task::yield_now().await;
-        }
-        // Maintenance runs after the inputs are applied, so that servers in a new list have their addresses.
-        let now = self.clock.now();
-        if now >= self.last_maintenance + MAINTENANCE_INTERVAL {
-            self.last_maintenance = now;
-            self.run_maintenance();
-        }
-        self.decide();
-    }
-
-    /// Steps the core until no inputs are left, including those that its commands produce at once.
-    fn step(&mut self) {
-        self.apply_inputs();
-        self.decide();
-    }
-
-    /// First half of a step. Returns whether servers' answers were queued for viewers.
-    fn apply_inputs(&mut self) -> bool {
-        self.receive_from_viewers();
-        let inputs = std::mem::take(&mut self.inputs);
-        let commands = self.core.process_inputs(self.clock.now(), inputs);
-        let is_stream_answer = |c: &Command<SetupRequest, String>| {
-            matches!(c, Command::Answer { answer: Answer::Stream { .. }, .. })
-        };
-        let answered = commands.iter().any(is_stream_answer);
-        commands.into_iter().for_each(|command| self.execute(command));
-        answered
-    }
-
-    /// Second half of a step, followed by whole steps while its commands produce inputs.
-    fn decide(&mut self) {
-        loop {
-            let commands = self.core.decide();
-            if !invariants_hold("session core", || self.core.check()) {
-                std::process::exit(INVARIANT_EXIT_CODE);
-            }
-            commands.into_iter().for_each(|command| self.execute(command));
-            if self.inputs.is_empty() {
-                return;
-            }
-            self.apply_inputs();
-        }
-    }
-
     fn handle_event(&mut self, event: LoopEvent) {
         match event {
             LoopEvent::ViewerConnected(conn, handle) => self.viewer_connected(conn, handle),
             LoopEvent::LinkUp(link) => self.links.link_up(link),
             LoopEvent::SetupNotSent(link, attempt) => {
                 // A viewer that has left is removed first; otherwise the core would retry the set-up.
-                self.close_if_viewer_left(link, attempt);
+                self.abandon_if_viewer_left(link, attempt);
                 let ended = self.links.setup_not_sent(link, attempt);
                 self.attempt_ended(ended, Load::default());
             }
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -54,7 +54,7 @@
             return;
         }
         self.closed_before_kill = true;
-        self.receive_from_viewers();
+        self.receive_all_from_viewers();
         let idle: Vec<_> =
             self.viewer_conns.keys().copied().filter(|c| self.registry.pending_setups_on(*c) == 0).collect();
         idle.into_iter().for_each(|conn| self.close_viewer(conn, ViewerCloseReason::Stopping));
--- a/crates/node/src/event_loop/tests.rs
+++ b/crates/node/src/event_loop/tests.rs
@@ -1,7 +1,7 @@
 //! The event loop with viewers' connections that no task reads; the tests hold both ends.
 
 use super::*;
-use crate::viewer_conn::{ReadyNotifier, ViewerCommand, ViewerConn};
+use crate::viewer_conn::{ReadyNotifier, ViewerCommand, ViewerConn, ViewerMemory};
 use bytes::BytesMut;
 use cloverhollow_platform::config;
 use cloverhollow_platform::rtsp;
@@ -84,7 +84,12 @@
             event_loop.apply_channel_update(0, update);
         }
         event_loop.step();
-        Fixture { event_loop, event_rx, notifier: ReadyNotifier::new(ready_tx), servers }
+        Fixture {
+            event_loop,
+            event_rx,
+            notifier: ReadyNotifier::new(ready_tx, ViewerMemory::new(None)),
+            servers,
+        }
     }
 
     /// Opens a viewer's connection whose socket is never read.
--- a/crates/node/src/event_loop/tests/sessions.rs
+++ b/crates/node/src/event_loop/tests/sessions.rs
@@ -23,7 +23,7 @@
     );
     fixture.event_loop.apply_channel_update(1, ServerDirectory::parse_update(&event).unwrap());
     viewer.conn.push_received(handed_over_message(0xa1, "s-new"));
-    fixture.event_loop.receive_from(ConnId(1));
+    fixture.event_loop.receive_turn(ConnId(1));
     fixture.event_loop.last_maintenance = Duration::ZERO;
     tokio::time::sleep(MAINTENANCE_INTERVAL).await;
     fixture.event_loop.step_and_maintain().await;
--- a/crates/node/src/event_loop/viewers.rs
+++ b/crates/node/src/event_loop/viewers.rs
@@ -1,7 +1,6 @@
 //! Viewers: connections, messages, set-ups, and sessions that are handed over.
 
 use super::*;
-use std::collections::VecDeque;
 
 /// Reason for the end of a viewer's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,83 +18,22 @@
 }
 
 impl EventLoop {
-    pub(super) fn viewer_connected(&mut self, conn: ConnId, handle: ViewerHandle) {
-        if self.viewer_conns.len() >= self.limits.max_conns {
-            // Messages received so far determine which connections are idle.
-            self.receive_from_viewers();
-            match self.registry.eviction_candidate(self.clock.now()) {
-                Some(candidate) => self.close_viewer(candidate, ViewerCloseReason::Evicted),
-                // Dropping the handle closes the new connection.
-                None => {
-                    return tracing::info!(conn = conn.0, "connection rejected: all others have open set-ups")
-                }
-            }
-        }
-        self.viewer_conns.insert(conn, handle);
-        self.registry.connection_opened(conn, self.clock.now());
-        self.receive_from(conn);
-    }
-
-    /// Handles everything received from viewers so far. Each step begins with this function, so that nothing
-    /// is decided for a viewer that has left.
-    pub(super) fn receive_from_viewers(&mut self) {
-        for _ in 0..self.ready_rx.len() {
-            let Ok(conn) = self.ready_rx.try_recv() else { return };
-            self.receive_from(conn);
-        }
-    }
-
-    /// Handles everything received on a connection.
-    pub(super) fn receive_from(&mut self, conn: ConnId) {
-        // If the connection is not known yet, its items are handled by `viewer_connected`.
-        let Some(handle) = self.viewer_conns.get(&conn) else { return };
-        let (mut items, read_closed) = handle.conn.take_received();
-        while let Some(item) = items.pop_front().filter(|_| !self.registry.is_closing(conn)) {
-            let result = match item {
-                Received::Message(message) => {
-                    self.handle_message(conn, message).map_err(|reply_to| (400, reply_to))
-                }
-                Received::Invalid(status, reply_to) => Err((status, reply_to)),
-            };
-            if let Err((status, reply_to)) = result {
-                self.write(conn, viewer::error_response(status, &reply_to));
-                self.refuse_remaining(conn, items);
-                self.close_after_error(conn);
-                break;
-            }
-        }
-        if read_closed {
-            self.close_viewer(conn, ViewerCloseReason::Closed);
-        }
-    }
-
-    /// Refuses the set-ups that were received completely after invalid data; none of them is started.
-    fn refuse_remaining(&mut self, conn: ConnId, items: VecDeque<Received>) {
-        for item in items {
-            let Received::Message(message) = item else { return };
-            if let Ok(ViewerRequest::Setup(setup)) = viewer::parse(message, &self.site) {
-                if setup.playing_at.is_none() && !self.registry.contains(&setup.sid) {
-                    tracing::info!(session = %setup.sid, conn = conn.0, "set-up refused: its connection is closing");
-                    self.write(
-                        conn,
-                        viewer::refusal_response(&setup.sid, self.site.settings.limits.max_retry_after),
-                    );
-                }
-            }
-        }
-    }
-
     /// Returns the viewer's side of a pending set-up, for [`PendingSetup`](crate::messages::PendingSetup).
     pub(super) fn setup_waiter(&self, sid: &SessionId) -> Option<SetupWaiter> {
         let handle = self.viewer_conns.get(&self.registry.connection_of_pending_setup(sid)?)?;
         Some(SetupWaiter { conn: handle.conn.clone(), sid: sid.clone() })
     }
 
-    /// Closes the connection of a set-up that was not sent if the viewer has left.
-    pub(super) fn close_if_viewer_left(&mut self, link: LinkId, attempt: AttemptId) {
+    /// Abandons a set-up that was not sent if its viewer has left: its connection is closed, or a TEARDOWN of the
+    /// set-up has been received, which need not have been handled yet.
+    pub(super) fn abandon_if_viewer_left(&mut self, link: LinkId, attempt: AttemptId) {
         self.receive_from_viewers();
-        if let Some(sid) = self.links.session_of_setup(link, attempt).cloned() {
-            self.close_if_closed_by_viewer(&sid);
+        let Some(sid) = self.links.session_of_setup(link, attempt).cloned() else { return };
+        self.close_if_closed_by_viewer(&sid);
+        if self.setup_waiter(&sid).is_some_and(|waiter| waiter.has_abandoned()) {
+            if let TeardownOutcome::PendingSetup(viewer) = self.registry.teardown(&sid) {
+                self.inputs.push(Input::Disconnected { viewer, sid });
+            }
         }
     }
 
@@ -207,6 +145,10 @@
             // The viewer does not read: the connection accepted no more releases.
             return Ok(());
         }
+        if self.viewer_conns.get(&conn).is_some_and(|handle| handle.conn.has_received_teardown(&sid)) {
+            // The viewer has taken the set-up back; the TEARDOWN that follows gets the response.
+            return Ok(());
+        }
         let full = self.registry.pending_setups() >= self.limits.max_open_setups
             || self.registry.pending_setups_on(conn) >= self.limits.max_open_setups_per_conn;
         let stopping = self.is_shutdown_due(|schedule| schedule.refuse_after);
--- a/crates/node/src/listen/tests.rs
+++ b/crates/node/src/listen/tests.rs
@@ -2,10 +2,9 @@
 //! handle.
 
 use super::*;
-use crate::viewer_conn::MAX_QUEUED_BYTES;
+use crate::viewer_conn::{ReceivedBatch, ViewerMemory, MAX_QUEUED_BYTES};
 use bytes::Bytes;
 use socket2::SockRef;
-use std::collections::VecDeque;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const PING: &[u8] = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n";
@@ -30,7 +29,7 @@
             listener,
             Arc::new(Semaphore::new(permits)),
             event_tx,
-            ReadyNotifier::new(ready_tx),
+            ReadyNotifier::new(ready_tx, ViewerMemory::new(None)),
         ));
         Fixture { address, event_rx, ready_rx }
     }
@@ -78,7 +77,7 @@
     let mut received = 0;
     loop {
         tokio::time::timeout(TEST_TIMEOUT, fixture.ready_rx.recv()).await.expect("a notification").unwrap();
-        let (items, read_closed) = handle.conn.take_received();
+        let ReceivedBatch { items, read_closed } = handle.conn.take_received();
         received += items.len();
         if read_closed {
             break;
@@ -140,7 +139,7 @@
     let (mut received, mut max_at_once) = (0, 0);
     loop {
         tokio::time::timeout(TEST_TIMEOUT, fixture.ready_rx.recv()).await.expect("a notification").unwrap();
-        let (items, read_closed): (VecDeque<Received>, bool) = handle.conn.take_received();
+        let ReceivedBatch { items, read_closed } = handle.conn.take_received();
         (received, max_at_once) = (received + items.len(), max_at_once.max(items.len()));
         if read_closed {
             break;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -5,7 +5,7 @@
 use crate::gossip::GossipSocket;
 use crate::listen;
 use crate::messages::{LoopEvent, MAX_QUEUED_EVENTS};
-use crate::viewer_conn::ReadyNotifier;
+use crate::viewer_conn::{ReadyNotifier, ViewerMemory};
 use cloverhollow::SessionPolicy;
 use cloverhollow_net::{unix_ms, Clock};
 use cloverhollow_platform::config::{self, Config, ConfigError};
@@ -126,7 +126,8 @@
     // write.
     let max_conns = loop_limits.max_conns + limits.sockets / 16;
     let permits = Arc::new(Semaphore::new(max_conns));
-    tokio::spawn(listen::accept(listener, permits.clone(), event_tx.clone(), ReadyNotifier::new(ready_tx)));
+    let notifier = ReadyNotifier::new(ready_tx, ViewerMemory::new(limits.memory_mb));
+    tokio::spawn(listen::accept(listener, permits.clone(), event_tx.clone(), notifier));
     tokio::spawn(forward_signals(term, int, hup, file, event_tx));
     event_loop.run(event_rx).await;
     // Waits for the connections' tasks to write the last responses. One permit is held by `accept`.
--- a/crates/node/src/viewer_conn.rs
+++ b/crates/node/src/viewer_conn/mod.rs
@@ -5,47 +5,44 @@
 //! Nothing here waits for another connection. A closed connection or a TEARDOWN is visible to a queued set-up
 //! however many messages of other connections the event loop has yet to process.
 
-use bytes::Bytes;
-use cloverhollow_platform::rtsp::{Message, Method, ReplyTarget, StartLine};
+mod handle;
+mod memory;
+mod received;
+
+pub(crate) use handle::{SetupWaiter, ViewerCommand, ViewerHandle};
+pub(crate) use memory::ViewerMemory;
+pub(crate) use received::{Received, ReceivedBatch};
+
 use cloverhollow_platform::session_registry::ConnId;
-use cloverhollow_session::SessionId;
+use received::ReceivedQueue;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
 
-/// Maximum number of received bytes of one connection that wait for the event loop; reading pauses above it.
+/// Maximum memory of received messages of one connection that wait for the event loop; reading pauses above it.
 /// The limit holds hundreds of set-ups, so that a burst of set-ups and their TEARDOWNs is read in full and
 /// none is started for a viewer that has already cancelled.
-const MAX_PENDING_BYTES: usize = 256 * 1024;
-/// Maximum number of received bytes of all connections that wait for the event loop; above it, each
-/// connection may have one message waiting.
-const MAX_TOTAL_PENDING_BYTES: usize = 4 * 1024 * 1024;
-/// Memory accounted for a received message in addition to its own bytes.
-const MESSAGE_OVERHEAD_BYTES: usize = 128;
+const MAX_RECEIVED_BYTES: usize = 512 * 1024;
+/// Memory of received messages that each connection may have although all connections together have reached
+/// their limit.
+const MIN_RECEIVED_BYTES: usize = 4 * 1024;
 /// Maximum number of bytes, responses and releases together, that wait to be written to one connection.
 pub(crate) const MAX_QUEUED_BYTES: usize = 1024 * 1024;
-
-/// Item received on a viewer's connection.
-#[derive(Debug)]
-pub(crate) enum Received {
-    /// A complete message.
-    Message(Message),
-    /// Data that cannot be parsed, or an incomplete message; it is answered with an error of this status,
-    /// then the connection is closed.
-    Invalid(u16, ReplyTarget),
-}
+/// Number of bytes waiting to be written above which no further requests of a connection are handled: its viewer
+/// reads more slowly than it sends.
+const MAX_UNREAD_BYTES: usize = 64 * 1024;
 
 #[derive(Debug, Default)]
 struct State {
-    pending: VecDeque<Received>,
-    pending_bytes: usize,
+    received: ReceivedQueue,
     /// Nothing more will be received: the viewer has closed its side, or the connection broke.
     read_closed: bool,
     /// The event loop has been notified and has not taken the received items yet.
     is_notified: bool,
+    /// The received items wait until the viewer has read what is queued for it.
+    is_deferred: bool,
 }
 
 /// Notifies the event loop of connections that have received something.
@@ -53,13 +50,12 @@
 pub(crate) struct ReadyNotifier {
     /// Queue of ready connections; each connection is in it at most once.
     ready_tx: mpsc::Sender<ConnId>,
-    /// Received bytes of all connections that wait for the event loop.
-    pending_bytes: AtomicUsize,
+    memory: ViewerMemory,
 }
 
 impl ReadyNotifier {
-    pub(crate) fn new(ready_tx: mpsc::Sender<ConnId>) -> Arc<Self> {
-        Arc::new(ReadyNotifier { ready_tx, pending_bytes: AtomicUsize::new(0) })
+    pub(crate) fn new(ready_tx: mpsc::Sender<ConnId>, memory: ViewerMemory) -> Arc<Self> {
+        Arc::new(ReadyNotifier { ready_tx, memory })
     }
 }
 
@@ -74,6 +70,8 @@
     items_taken: Notify,
     /// Bytes that wait to be written.
     queued_bytes: AtomicUsize,
+    /// Number of writes that these bytes were queued by.
+    queued_writes: AtomicUsize,
     notifier: Arc<ReadyNotifier>,
 }
 
@@ -85,6 +83,7 @@
             state: Mutex::default(),
             items_taken: Notify::new(),
             queued_bytes: AtomicUsize::new(0),
+            queued_writes: AtomicUsize::new(0),
             notifier,
         }
     }
@@ -95,22 +94,15 @@
 
     /// Returns whether another item may be received now.
     pub(crate) fn has_room(&self) -> bool {
-        let own_bytes = self.state().pending_bytes;
-        own_bytes == 0
-            || (own_bytes < MAX_PENDING_BYTES
-                && self.notifier.pending_bytes.load(Relaxed) < MAX_TOTAL_PENDING_BYTES)
+        let bytes = self.state().received.bytes();
+        bytes < MIN_RECEIVED_BYTES
+            || (bytes < MAX_RECEIVED_BYTES && !self.notifier.memory.is_receive_limit_reached())
     }
 
     /// Queues a received item for the event loop. Returns false if the event loop has ended.
     pub(crate) fn push_received(&self, item: Received) -> bool {
-        let mut bytes = MESSAGE_OVERHEAD_BYTES;
-        if let Received::Message(m) = &item {
-            bytes += m.body.len() + m.headers.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>();
-        }
-        self.notifier.pending_bytes.fetch_add(bytes, Relaxed);
         let mut state = self.state();
-        state.pending_bytes += bytes;
-        state.pending.push_back(item);
+        self.notifier.memory.add_received(state.received.push(item));
         self.notify(&mut state)
     }
 
@@ -127,13 +119,51 @@
         state.is_notified
     }
 
-    /// Takes all received items, and whether nothing more will be received. Called by the event loop.
-    pub(crate) fn take_received(&self) -> (VecDeque<Received>, bool) {
+    /// Takes the oldest received items, at most `max_items`. The event loop is notified again if more are left.
+    ///
+    /// Takes nothing while the viewer reads more slowly than it sends; the event loop is notified once it has read.
+    pub(crate) fn take_batch(&self, max_items: usize) -> ReceivedBatch {
         let mut state = self.state();
-        self.notifier.pending_bytes.fetch_sub(std::mem::take(&mut state.pending_bytes), Relaxed);
         state.is_notified = false;
+        state.is_deferred = !state.read_closed && self.has_unread_output();
+        if state.is_deferred {
+            return ReceivedBatch::default();
+        }
+        let batch = self.take(&mut state, max_items);
+        if !state.received.is_empty() {
+            self.notify(&mut state);
+        }
+        batch
+    }
+
+    /// Takes all received items.
+    pub(crate) fn take_received(&self) -> ReceivedBatch {
+        let mut state = self.state();
+        (state.is_notified, state.is_deferred) = (false, false);
+        self.take(&mut state, usize::MAX)
+    }
+
+    fn take(&self, state: &mut State, max_items: usize) -> ReceivedBatch {
+        let (items, bytes) = state.received.take(max_items);
+        self.notifier.memory.remove_received(bytes);
         self.items_taken.notify_one();
-        (std::mem::take(&mut state.pending), state.read_closed)
+        ReceivedBatch { items, read_closed: state.read_closed && state.received.is_empty() }
+    }
+
+    /// Returns whether a TEARDOWN of the session has been received that the event loop has not taken yet.
+    pub(crate) fn has_received_teardown(&self, sid: &str) -> bool {
+        self.state().received.has_teardown(sid)
+    }
+
+    /// Returns whether received items wait for the event loop.
+    pub(crate) fn has_received(&self) -> bool {
+        !self.state().received.is_empty()
+    }
+
+    /// Returns whether the viewer has so much to read that none of its requests are handled until it has.
+    fn has_unread_output(&self) -> bool {
+        let bytes = self.queued_bytes.load(Relaxed);
+        bytes > MAX_UNREAD_BYTES || (bytes > 0 && self.notifier.memory.is_write_limit_reached())
     }
 
     /// Waits until the event loop has taken the received items. Cancel-safe.
@@ -158,19 +188,14 @@
     /// Returns whether the viewer has abandoned the set-up, by a pending TEARDOWN or by closing the
     /// connection.
     pub(crate) fn has_abandoned(&self, sid: &str) -> bool {
-        let is_teardown = |item: &Received| match item {
-            Received::Message(m) => {
-                matches!(m.start_line, StartLine::Request { method: Method::Teardown, .. })
-                    && m.header("Session") == Some(sid)
-            }
-            Received::Invalid(..) => false,
-        };
-        self.state().pending.iter().any(is_teardown) || self.has_closed()
+        self.has_received_teardown(sid) || self.has_closed()
     }
 
     /// Adds to the bytes that wait to be written. Returns false if there are too many because the viewer does
     /// not read.
     fn add_queued(&self, bytes: usize) -> bool {
+        self.queued_writes.fetch_add(1, Relaxed);
+        self.notifier.memory.add_queued(bytes);
         self.queued_bytes.fetch_add(bytes, Relaxed) + bytes <= MAX_QUEUED_BYTES
     }
 
@@ -179,60 +204,25 @@
         self.queued_bytes.load(Relaxed) == 0
     }
 
-    /// Subtracts written bytes from those that wait to be written.
-    pub(crate) fn remove_queued(&self, bytes: usize) {
+    /// Subtracts `writes` of `bytes` altogether, which the system has accepted, from those that wait. Requests that
+    /// waited for this are handled now.
+    pub(crate) fn remove_queued(&self, writes: usize, bytes: usize) {
+        self.queued_writes.fetch_sub(writes, Relaxed);
         self.queued_bytes.fetch_sub(bytes, Relaxed);
+        self.notifier.memory.remove_queued(writes, bytes);
+        let mut state = self.state();
+        if state.is_deferred && !self.has_unread_output() {
+            state.is_deferred = false;
+            self.notify(&mut state);
+        }
     }
 }
 
 impl Drop for ViewerConn {
     fn drop(&mut self) {
-        let bytes = self.state().pending_bytes;
-        self.notifier.pending_bytes.fetch_sub(bytes, Relaxed);
-    }
-}
-
-/// The viewer's side of a set-up that has not been sent yet.
-#[derive(Clone, Debug)]
-pub(crate) struct SetupWaiter {
-    pub(crate) conn: Arc<ViewerConn>,
-    pub(crate) sid: SessionId,
-}
-
-impl SetupWaiter {
-    /// Returns whether the viewer no longer waits for the set-up.
-    pub(crate) fn has_abandoned(&self) -> bool {
-        self.conn.has_abandoned(&self.sid)
-    }
-}
-
-/// Command to the task of a viewer's connection.
-#[derive(Debug)]
-pub(crate) enum ViewerCommand {
-    /// Write these bytes.
-    Write(Bytes),
-    /// Write everything queued before, then close.
-    Close,
-}
-
-/// The event loop's handle to a viewer's connection. Dropping it closes the connection after the queued bytes
-/// are written.
-#[derive(Debug)]
-pub(crate) struct ViewerHandle {
-    pub(crate) command_tx: mpsc::Sender<ViewerCommand>,
-    pub(crate) conn: Arc<ViewerConn>,
-}
-
-impl ViewerHandle {
-    /// Queues bytes. Returns false if the viewer reads too slowly or the connection has ended.
-    pub(crate) fn write(&self, bytes: Bytes) -> bool {
-        self.conn.add_queued(bytes.len()) && self.command_tx.try_send(ViewerCommand::Write(bytes)).is_ok()
-    }
-
-    /// Closes the connection after the queued bytes. Returns false if the command could not be queued;
-    /// dropping the handle then closes the connection.
-    pub(crate) fn close(&self) -> bool {
-        self.command_tx.try_send(ViewerCommand::Close).is_ok()
+        let memory = &self.notifier.memory;
+        memory.remove_received(self.state().received.bytes());
+        memory.remove_queued(self.queued_writes.load(Relaxed), self.queued_bytes.load(Relaxed));
     }
 }
 
--- a/crates/node/src/viewer_conn/tests.rs
+++ b/crates/node/src/viewer_conn/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::link::{self, LinkTarget};
 use crate::messages::{LoopEvent, PendingSetup, SendClaim, MAX_QUEUED_EVENTS};
+use bytes::Bytes;
 use cloverhollow_net::{Clock, SendDecision};
 use cloverhollow_platform::link_monitor::LinkId;
 use cloverhollow_session::AttemptId;
@@ -18,7 +19,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let stream = Arc::new(listener.accept().await.unwrap().0);
-    let conn = Arc::new(ViewerConn::new(ConnId(1), &stream, ReadyNotifier::new(mpsc::channel(1).0)));
+    let conn = Arc::new(ViewerConn::new(
+        ConnId(1),
+        &stream,
+        ReadyNotifier::new(mpsc::channel(1).0, ViewerMemory::new(None)),
+    ));
     (stream, conn, client)
 }
 
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -11,6 +11,8 @@
 pub struct ResourceLimits {
     /// Maximum number of file descriptors.
     pub sockets: usize,
+    /// Maximum memory, MB (1,048,576 bytes). `None` if it is not limited.
+    pub memory_mb: Option<u64>,
 }
 
 /// The configuration as written, before validation.
--- a/crates/platform/src/rtsp.rs
+++ b/crates/platform/src/rtsp.rs
@@ -1,13 +1,19 @@
 //! RTSP messages (the subset of RFC 2326 that the platform uses): encoding, and strict decoding with length limits.
 
+mod encode;
+
+pub use encode::{request, request_with_body, response};
+
 use bytes::{Buf, Bytes, BytesMut};
-use std::fmt::Write;
 
 /// Maximum length of a message in bytes, headers and body together.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Maximum number of header lines in a message.
 const MAX_HEADERS: usize = 64;
 
+/// Memory that an allocator needs for each allocation, on the average, in addition to its bytes.
+const ALLOCATION_OVERHEAD_BYTES: usize = 16;
+
 /// First line of a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StartLine {
@@ -76,6 +82,18 @@
         let (_, value) = found.next()?;
         found.next().is_none().then_some(value)
     }
+
+    /// Memory that the message takes up besides its own size.
+    pub fn heap_bytes(&self) -> usize {
+        let uri_bytes = match &self.start_line {
+            StartLine::Request { uri, .. } => uri.len() + ALLOCATION_OVERHEAD_BYTES,
+            StartLine::Response { .. } => 0,
+        };
+        let texts = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        let text_bytes: usize = texts.map(|bytes| bytes + 2 * ALLOCATION_OVERHEAD_BYTES).sum();
+        let header_bytes = self.headers.capacity() * size_of::<(String, String)>();
+        uri_bytes + header_bytes + text_bytes + self.body.len() + 2 * ALLOCATION_OVERHEAD_BYTES
+    }
 }
 
 /// Headers of a rejected message that an error response repeats, as far as they could be read.
@@ -148,7 +166,9 @@
     if buf.len() < head + length {
         return Ok(None);
     }
-    let body = buf.split_to(head + length).freeze().slice(head..);
+    // A slice of the buffer would keep the whole buffer in memory for as long as the message waits.
+    let body = Bytes::copy_from_slice(&buf[head..head + length]);
+    buf.advance(head + length);
     Ok(Some(Message { start_line, headers, body }))
 }
 
@@ -216,56 +236,3 @@
 fn is_token(name: &str) -> bool {
     !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
 }
-
-/// Encodes a response.
-pub fn response(
-    status: u16,
-    cseq: &str,
-    session: Option<&str>,
-    headers: &[(&str, String)],
-    body: &[u8],
-) -> Bytes {
-    let reason = match status {
-        200 => "OK",
-        400 => "Bad Request",
-        413 => "Request Entity Too Large",
-        453 => "Not Enough Bandwidth",
-        454 => "Session Not Found",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Error",
-    };
-    encode(&format!("RTSP/1.0 {status} {reason}"), cseq, session, headers, body)
-}
-
-/// Encodes a request without a body.
-pub fn request(method: Method, uri: &str, cseq: &str, session: &str, headers: &[(&str, String)]) -> Bytes {
-    request_with_body(method, uri, cseq, session, headers, b"")
-}
-
-/// Encodes a request with a body.
-pub fn request_with_body(
-    method: Method,
-    uri: &str,
-    cseq: &str,
-    session: &str,
-    headers: &[(&str, String)],
-    body: &[u8],
-) -> Bytes {
-    encode(&format!("{} {uri} RTSP/1.0", method.name()), cseq, Some(session), headers, body)
-}
-
-fn encode(start: &str, cseq: &str, session: Option<&str>, headers: &[(&str, String)], body: &[u8]) -> Bytes {
-    let mut head = format!("{start}\r\nCSeq: {cseq}\r\n");
-    if let Some(session) = session {
-        let _ = write!(head, "Session: {session}\r\n");
-    }
-    for (name, value) in headers {
-        let _ = write!(head, "{name}: {value}\r\n");
-    }
-    let _ = write!(head, "Content-Length: {}\r\n\r\n", body.len());
-    let mut out = head.into_bytes();
-    out.extend_from_slice(body);
-    out.into()
-}
