Keep a viewer's read buffer at the size of a message

Change: the buffer has room for what is incomplete and one read; it grew to twice a message and stayed so. It is given back while it is empty, and nothing is read ahead while a message waits and there is no room for another.

--- a/crates/node/src/listen/reader.rs
+++ b/crates/node/src/listen/reader.rs
@@ -29,7 +29,7 @@
     let mut reader = Reader {
         stream,
         conn,
-        buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
+        buf: BytesMut::new(),
         message_deadline: Some(Instant::now() + MESSAGE_TIMEOUT),
     };
     loop {
@@ -77,24 +77,39 @@
     /// Reads and decodes everything that has arrived.
     fn read_available(&mut self) -> Result<(), Stop> {
         loop {
-            while !self.buf.is_empty() {
-                if !self.conn.has_room() {
-                    return Err(Stop::NoRoom);
-                }
+            while !self.buf.is_empty() && self.conn.has_room() {
                 if !self.decode().map_err(Stop::End)? {
                     break;
                 }
             }
-            self.buf.reserve(READ_BUFFER_BYTES);
+            if !self.conn.has_room() {
+                return Err(Stop::NoRoom);
+            }
+            self.reserve();
             match self.stream.try_read_buf(&mut self.buf) {
                 Ok(0) => return Err(Stop::End(ReadEnd::Closed)),
                 Ok(_) => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    if self.buf.is_empty() {
+                        // Most connections are idle most of the time.
+                        self.buf = BytesMut::new();
+                    }
+                    return Ok(());
+                }
                 Err(_) => return Err(Stop::End(ReadEnd::Broken)),
             }
         }
     }
 
+    /// Makes space for a read. The buffer gets no larger than that, as there are hundreds of them.
+    fn reserve(&mut self) {
+        if self.buf.capacity() - self.buf.len() < READ_BUFFER_BYTES {
+            let mut buf = BytesMut::with_capacity(self.buf.len() + READ_BUFFER_BYTES);
+            buf.extend_from_slice(&self.buf);
+            self.buf = buf;
+        }
+    }
+
     /// Decodes one message and queues it for the event loop. Returns false if it is not complete yet.
     fn decode(&mut self) -> Result<bool, ReadEnd> {
         match rtsp::decode(&mut self.buf) {
