Remember paid set-ups that may have run in a session manager too

Cause: the number of paid sessions to remember came with the settings of persistence; a session manager has none, and remembered nothing.

Set-ups that wait for their turn when their viewer's close is known are dropped before anything is decided.

--- a/crates/node/src/event_loop/tests.rs
+++ b/crates/node/src/event_loop/tests.rs
@@ -61,6 +61,7 @@
             answer_margin: Duration::ZERO,
             max_sessions: 1_000,
             max_waiting: 1,
+            max_paid_sessions: 8,
             idle_timeout: None,
             persistence: None,
         };
--- a/crates/node/src/event_loop/viewers.rs
+++ b/crates/node/src/event_loop/viewers.rs
@@ -145,8 +145,8 @@
             // The viewer does not read: the connection accepted no more releases.
             return Ok(());
         }
-        if self.viewer_conns.get(&conn).is_some_and(|handle| handle.conn.has_received_teardown(&sid)) {
-            // The viewer has taken the set-up back; the TEARDOWN that follows gets the response.
+        if self.viewer_conns.get(&conn).is_some_and(|handle| handle.conn.has_received_end(&sid)) {
+            // The viewer has left, or has taken the set-up back; then the TEARDOWN that follows gets the response.
             return Ok(());
         }
         let full = self.registry.pending_setups() >= self.limits.max_open_setups
--- a/crates/node/src/viewer_conn/mod.rs
+++ b/crates/node/src/viewer_conn/mod.rs
@@ -150,9 +150,11 @@
         ReceivedBatch { items, read_closed: state.read_closed && state.received.is_empty() }
     }
 
-    /// Returns whether a TEARDOWN of the session has been received that the event loop has not taken yet.
-    pub(crate) fn has_received_teardown(&self, sid: &str) -> bool {
-        self.state().received.has_teardown(sid)
+    /// Returns whether the viewer has abandoned the set-up by what has been received: a TEARDOWN that the event loop
+    /// has not taken yet, or a close.
+    pub(crate) fn has_received_end(&self, sid: &str) -> bool {
+        let state = self.state();
+        state.read_closed || state.received.has_teardown(sid)
     }
 
     /// Returns whether received items wait for the event loop.
@@ -188,7 +190,7 @@
     /// Returns whether the viewer has abandoned the set-up, by a pending TEARDOWN or by closing the
     /// connection.
     pub(crate) fn has_abandoned(&self, sid: &str) -> bool {
-        self.has_received_teardown(sid) || self.has_closed()
+        self.has_received_end(sid) || self.has_closed()
     }
 
     /// Adds to the bytes that wait to be written. Returns false if there are too many because the viewer does
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -172,6 +172,8 @@
 
 /// Maximum number of sessions held: more than the video servers of one session manager can carry.
 const MAX_SESSIONS: usize = 16_384;
+/// Number of paid sessions remembered as possibly executed: the sessions of an hour at nine a second, in about a megabyte.
+const MAX_PAID_SESSIONS: usize = 32_768;
 /// Time before the end of a viewer's waiting time at which its response is sent: covers the way to the viewer, and what
 /// has passed on the viewer's clock before the request is read here.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
@@ -201,6 +203,7 @@
             answer_margin: RESPONSE_MARGIN,
             max_sessions: MAX_SESSIONS,
             max_waiting: 1,
+            max_paid_sessions: MAX_PAID_SESSIONS,
             idle_timeout: None,
             persistence: None,
         }
--- a/crates/platform/tests/zero_settings.rs
+++ b/crates/platform/tests/zero_settings.rs
@@ -59,6 +59,7 @@
         answer_margin: MARGIN,
         max_sessions: 100,
         max_waiting: 1,
+        max_paid_sessions: 8,
         idle_timeout: None,
         persistence: None,
     };
--- a/crates/session/src/config.rs
+++ b/crates/session/src/config.rs
@@ -23,8 +23,6 @@
     pub fleet_id: u64,
     /// Age from which an observation of a server is discarded.
     pub horizon: Duration,
-    /// Maximum number of paid sessions remembered as possibly executed.
-    pub max_paid_sessions: usize,
     /// True if a retry budget applies, so that retries are recorded in the write-ahead log.
     pub retry_budget: bool,
     /// Longest delay between a server's start and the update of the server list that shows it.
@@ -50,6 +48,8 @@
     pub max_sessions: usize,
     /// Maximum number of requests that wait for the set-up of one session.
     pub max_waiting: usize,
+    /// Maximum number of paid sessions remembered as possibly executed; beyond it the oldest is forgotten.
+    pub max_paid_sessions: usize,
     /// Time after which a session with a silent player has ended. `None` if the servers report the ends of sessions.
     pub idle_timeout: Option<Duration>,
     /// Settings of persistence and peers. `None` if nothing is persisted and no peer requests knowledge.
@@ -77,12 +77,12 @@
             answer_margin: settings.sessions.deadline_margin_ms.get(),
             max_sessions: settings.sessions.max_sessions.as_usize(),
             max_waiting: settings.sessions.max_waiting_requests.as_usize(),
+            max_paid_sessions: settings.sessions.max_spent_sessions.as_usize(),
             idle_timeout: Some(settings.sessions.idle_timeout_ms.get()),
             persistence: Some(PersistenceConfig {
                 instance_id: title_id(settings.instance.name.as_str()),
                 fleet_id: title_id(settings.peers.fleet_name.as_str()),
                 horizon: settings.peers.max_age_ms.get(),
-                max_paid_sessions: settings.sessions.max_spent_sessions.as_usize(),
                 retry_budget: settings.rules.retry_budget.is_some(),
                 max_list_delay: settings.discovery.max_list_delay_ms.get(),
             }),
--- a/crates/session/src/core/mod.rs
+++ b/crates/session/src/core/mod.rs
@@ -74,7 +74,7 @@
             pending_attempts: BTreeSet::new(),
             list: ServerList::default(),
             report_throttles: HashMap::new(),
-            history: FrontHistory::new(config.persistence.as_ref()),
+            history: FrontHistory::new(&config),
             knowledge: KnowledgeExchange::new(config.persistence.as_ref(), incarnation),
             timers: Timers::default(),
             events: Vec::new(),
--- a/crates/session/src/history.rs
+++ b/crates/session/src/history.rs
@@ -2,7 +2,7 @@
 //! servers logged as draining or failed, and sessions that servers may still hold for the previous incarnation.
 //! Rules are numbered as in the crate's documentation.
 
-use crate::config::PersistenceConfig;
+use crate::config::CoreConfig;
 use crate::invariants::{ensure, InvariantViolation};
 use crate::list::{ListUpdate, WireState};
 use crate::types::RejectReason;
@@ -20,8 +20,10 @@
 pub(crate) struct FrontHistory {
     /// Paid sessions that may have been executed, in this incarnation or an earlier one. None is set up again here.
     executed_paid: PaidSessions,
-    /// Maximum number of paid sessions remembered. `None` if nothing is passed on between incarnations.
-    max_paid_sessions: Option<usize>,
+    /// Maximum number of paid sessions remembered.
+    max_paid_sessions: usize,
+    /// Whether servers that stop or fail are logged for the next incarnation.
+    is_persisted: bool,
     /// Time until which no paid session can be proven to be new.
     unproven_until: Duration,
     /// Servers that the log records as accepting no new sessions.
@@ -49,10 +51,11 @@
 }
 
 impl FrontHistory {
-    pub(crate) fn new(config: Option<&PersistenceConfig>) -> Self {
+    pub(crate) fn new(config: &CoreConfig) -> Self {
         FrontHistory {
             executed_paid: PaidSessions::default(),
-            max_paid_sessions: config.map(|c| c.max_paid_sessions),
+            max_paid_sessions: config.max_paid_sessions,
+            is_persisted: config.persistence.is_some(),
             unproven_until: Duration::ZERO,
             stopped: BTreeSet::new(),
             failed: BTreeSet::new(),
@@ -79,23 +82,20 @@
 
     /// Remembers a paid session that a server may have executed.
     pub(crate) fn record_executed(&mut self, sid: &str) {
-        if let Some(max) = self.max_paid_sessions {
-            self.executed_paid.insert(session_digest(sid), max);
-        }
+        self.executed_paid.insert(session_digest(sid), self.max_paid_sessions);
     }
 
     /// Returns whether a paid session is remembered as possibly executed, or may have been dropped at the bound.
     pub(crate) fn remembers_paid(&self, sid: &str) -> bool {
-        self.max_paid_sessions.is_none_or(|max| {
-            self.executed_paid.contains(session_digest(sid)) || self.executed_paid.iter().len() >= max
-        })
+        self.executed_paid.contains(session_digest(sid))
+            || self.executed_paid.iter().len() >= self.max_paid_sessions
     }
 
     /// Checks the bounds on all that is remembered.
     pub(crate) fn check(&self) -> Result<(), InvariantViolation> {
         let bound =
             |items, held, max| ensure(held <= max, || InvariantViolation::HistoryBound { items, held, max });
-        bound("paid sessions", self.executed_paid.iter().len(), self.max_paid_sessions.unwrap_or(0))?;
+        bound("paid sessions", self.executed_paid.iter().len(), self.max_paid_sessions)?;
         let bounds = LedgerLimits::default();
         bound("stopped servers", self.stopped.len(), bounds.servers)?;
         bound("failed servers", self.failed.len(), bounds.servers)?;
@@ -136,7 +136,7 @@
         stopped: &BTreeSet<ServerId>,
     ) -> Vec<LogRecord> {
         let mut records = Vec::new();
-        if self.max_paid_sessions.is_none() {
+        if !self.is_persisted {
             return records;
         }
         if update.mode != ListMode::Stale {
@@ -157,7 +157,9 @@
 
     /// Records how an attempt or a session at a server ended. Returns a log record if the server's state changed.
     pub(crate) fn record_outcome(&mut self, server: ServerId, worked: bool) -> Option<LogRecord> {
-        self.max_paid_sessions?;
+        if !self.is_persisted {
+            return None;
+        }
         let changed =
             if worked { self.failed.remove(&server) } else { insert_bounded(&mut self.failed, server) };
         changed.then_some(LogRecord::ServerFailure { server, failed: !worked })
