Send releases only to the process that spoke of the session

Seen by callers: a server dies, another process listens at its address, the list tells later: eleven releases of the dead process's sessions are sent to the new one. The same where a session was set up at the new process meanwhile.

Cause: where another server is listed at an address, each connection to the former one counted as leading to it, also one opened after its death. Evidence: the log (link 1 reset, link 2 refused, link 3 up, then the releases on it).

Change: connections that are up at the same time lead to one process, one opened after the others had ended may lead to another (ProcessId); a session belongs to the process that spoke of it last, and its release goes there or nowhere.

--- a/crates/cli/tests/platform/fakes.rs
+++ b/crates/cli/tests/platform/fakes.rs
@@ -12,6 +12,11 @@
         Server(TcpListener::bind("127.0.0.1:0").unwrap())
     }
 
+    /// Another process at the address of a server that has ended.
+    pub fn at(address: SocketAddr) -> Server {
+        Server(TcpListener::bind(address).unwrap())
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().unwrap()
     }
--- a/crates/node/src/event_loop/lines.rs
+++ b/crates/node/src/event_loop/lines.rs
@@ -33,13 +33,17 @@
             // effect first.
             self.step();
         }
-        if let Some(server) =
-            self.session_server(&source, &line.sid).filter(|server| *server != source.server)
-        {
-            self.links.message_received(server);
+        if let Some(server) = self.session_server(&source, &line.sid) {
+            self.heard_from(&source, &line.sid);
+            if server != source.server {
+                self.links.message_received(server);
+            }
         }
         let result = match (line.verb, source.is_open_setup) {
-            (Verb::Started, true) => self.setup_answered(id, &line),
+            (Verb::Started, true) => {
+                self.heard_from(&source, &line.sid);
+                self.setup_answered(id, &line)
+            }
             (Verb::Started, false) => self.unexpected_answer(&source, &line),
             (Verb::Finish, true) => self.setup_finished(id, &line),
             (Verb::Finish, false) => self.session_released(&source, &line),
@@ -174,6 +178,13 @@
         is_sender.then_some(server)
     }
 
+    /// Records which process spoke of a session.
+    fn heard_from(&mut self, source: &LineSource, sid: &str) {
+        if let Some(process) = source.process {
+            self.registry.heard_from(process, sid);
+        }
+    }
+
     /// Returns the reason for dropping a line about a session that is not established at the sender.
     fn not_established_reason(&self, sid: &str) -> DropReason {
         if !self.registry.contains(sid) {
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::channel::ChannelPosition;
 use crate::gossip::GossipSocket;
-use crate::links::{EndedSetup, LineSource, Links, OutgoingSetup};
+use crate::links::{EndedSetup, LineSource, Links, LostSession, OutgoingSetup};
 use crate::messages::LoopEvent;
 use crate::viewer_conn::{Received, ReceivedBatch, SetupWaiter, ViewerHandle};
 use bytes::Bytes;
--- a/crates/node/src/event_loop/servers.rs
+++ b/crates/node/src/event_loop/servers.rs
@@ -73,7 +73,11 @@
     /// are lost. With [`Duration::MAX`] all sessions at the server and all connections to it are the
     /// previous one's.
     pub(super) fn process_replaced(&mut self, server: ServerId, replaced_at: Duration) {
-        let lost = self.end_sessions_at(server, replaced_at);
+        let lost: Vec<LostSession> = self
+            .end_sessions_at(server, replaced_at)
+            .into_iter()
+            .map(|sid| LostSession { process: self.registry.process_of(&sid), sid })
+            .collect();
         self.links.process_replaced(server, replaced_at, &lost);
     }
 
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -4,11 +4,12 @@
 
 mod close_reason;
 mod outcomes;
+mod processes;
 mod queued_lines;
 mod sending;
 mod types;
 
-pub(crate) use types::{EndedSetup, LineSource, OutgoingSetup};
+pub(crate) use types::{EndedSetup, LineSource, LostSession, OutgoingSetup};
 
 use crate::link::{self, LinkTarget};
 use crate::messages::{LinkHandle, LoopEvent, PendingSetup};
@@ -16,7 +17,7 @@
 use cloverhollow::ServerId;
 use cloverhollow_net::{Clock, SendDecision};
 use cloverhollow_platform::lines::{cause, Line};
-use cloverhollow_platform::link_monitor::{LinkAction, LinkEndReason, LinkId, LinkMonitor};
+use cloverhollow_platform::link_monitor::{LinkAction, LinkEndReason, LinkId, LinkMonitor, ProcessId};
 use cloverhollow_session::{AttemptEnd, AttemptId, CancelReason, SessionId};
 use queued_lines::QueuedLines;
 use std::collections::HashMap;
@@ -31,6 +32,8 @@
     address: SocketAddr,
     handle: LinkHandle,
     opened_at: Duration,
+    /// The process at the other end; `None` until the connection is up.
+    process: Option<ProcessId>,
     is_up: bool,
     /// The server process at the other end has been replaced; nothing more is sent.
     is_replaced: bool,
@@ -57,6 +60,7 @@
     /// Lines that wait for a connection to their video server.
     queued_lines: HashMap<ServerId, QueuedLines>,
     last_id: u64,
+    last_process: ProcessId,
 }
 
 impl Links {
@@ -67,7 +71,18 @@
         event_tx: mpsc::Sender<LoopEvent>,
     ) -> Self {
         let (links, open_setups, queued_lines) = (HashMap::new(), HashMap::new(), HashMap::new());
-        Links { monitor, clock, connect_timeout, event_tx, links, open_setups, queued_lines, last_id: 0 }
+        let (last_id, last_process) = (0, ProcessId(0));
+        Links {
+            monitor,
+            clock,
+            connect_timeout,
+            event_tx,
+            links,
+            open_setups,
+            queued_lines,
+            last_id,
+            last_process,
+        }
     }
 
     /// Records that the server has an established session.
@@ -140,6 +155,7 @@
                 address,
                 handle,
                 opened_at,
+                process: None,
                 is_up,
                 is_replaced,
                 is_closing,
@@ -152,8 +168,10 @@
 
     pub(crate) fn link_up(&mut self, id: LinkId) {
         let now = self.clock.now();
+        let Some(address) = self.links.get(&id).map(|link| link.address) else { return };
+        let process = self.process_at(address);
         let Some(link) = self.links.get_mut(&id) else { return };
-        link.is_up = true;
+        (link.is_up, link.process) = (true, Some(process));
         let server = link.server;
         self.monitor.link_up(now, server, id);
         if link.open_setup.is_none() {
@@ -194,6 +212,7 @@
         Some(LineSource {
             server: link.server,
             address: link.address,
+            process: link.process,
             is_open_setup,
             is_closing: link.is_closing,
         })
--- a/crates/node/src/links/sending.rs
+++ b/crates/node/src/links/sending.rs
@@ -43,23 +43,4 @@
     pub(crate) fn drop_queued(&mut self, server: ServerId) {
         self.queued_lines.remove(&server);
     }
-
-    /// Handles the replacement of a server process: connections opened before `replaced_at` lead to the
-    /// previous process. Releases of the `lost` sessions are sent to it in case it is still running, and each
-    /// of its connections is closed once no set-up is open on it.
-    pub(crate) fn process_replaced(&mut self, server: ServerId, replaced_at: Duration, lost: &[SessionId]) {
-        let is_previous =
-            |l: &Link| l.server == server && l.is_up && !l.is_closing && l.opened_at < replaced_at;
-        let ids: Vec<LinkId> = self.links.iter().filter(|(_, l)| is_previous(l)).map(|(id, _)| *id).collect();
-        if let Some(link) = ids.first().and_then(|id| self.links.get(id)) {
-            lost.iter().for_each(|sid| _ = link.handle.write(Line::finish(sid, cause::CANCELLED).encode()));
-        }
-        for id in ids {
-            let Some(link) = self.links.get_mut(&id) else { continue };
-            link.is_replaced = true;
-            if link.open_setup.is_none() {
-                self.close(id, CloseReason::ProcessReplaced);
-            }
-        }
-    }
 }
--- a/crates/node/src/links/types.rs
+++ b/crates/node/src/links/types.rs
@@ -3,6 +3,7 @@
 use crate::viewer_conn::SetupWaiter;
 use bytes::Bytes;
 use cloverhollow::ServerId;
+use cloverhollow_platform::link_monitor::ProcessId;
 use cloverhollow_session::{AttemptEnd, AttemptId, SessionId};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,10 +30,19 @@
     pub(crate) server: ServerId,
     /// Listen address of the server process.
     pub(crate) address: SocketAddr,
+    /// The server process.
+    pub(crate) process: Option<ProcessId>,
     /// The line concerns the set-up that is open on the connection.
     pub(crate) is_open_setup: bool,
     pub(crate) is_closing: bool,
 }
 
+/// A session that is lost with the process that it was established at.
+pub(crate) struct LostSession {
+    pub(crate) sid: SessionId,
+    /// The process that spoke of the session last; `None` if none has.
+    pub(crate) process: Option<ProcessId>,
+}
+
 /// A set-up that has ended and its proven outcome; `None` if no set-up ended.
 pub(crate) type EndedSetup = Option<(AttemptId, AttemptEnd)>;
--- a/crates/platform/src/link_monitor.rs
+++ b/crates/platform/src/link_monitor.rs
@@ -20,6 +20,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
 
+/// Id of a server's process, as far as connections show: those to one address that are up at the same time lead to the same
+/// process, whereas behind one that was opened after all others had ended another process may have come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProcessId(pub u64);
+
 /// Time for which an idle link that is not the newest stays open, so that data in flight on it arrives.
 const LINGER: Duration = Duration::from_secs(2);
 /// Delay before the first attempt to replace a lost link; doubles up to [`MAX_RECONNECT_DELAY`].
--- a/crates/platform/src/session_registry/mod.rs
+++ b/crates/platform/src/session_registry/mod.rs
@@ -7,10 +7,12 @@
 //! response.
 
 mod connections;
+mod processes;
 mod releases;
 mod waiting_releases;
 
 use crate::lines::cause;
+use crate::link_monitor::ProcessId;
 use cloverhollow::ServerId;
 use cloverhollow_session::{SessionId, ViewerId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -43,6 +45,8 @@
     held_by_server: bool,
     /// Time at which the session was established.
     established_at: Duration,
+    /// Process that has confirmed the session or spoken of it since; `None` if none has.
+    process: Option<ProcessId>,
 }
 
 #[derive(Debug, Default)]
@@ -116,6 +120,7 @@
             release_cause: None,
             held_by_server: false,
             established_at: Duration::ZERO,
+            process: None,
         };
         self.sessions.insert(sid.clone(), session);
         self.pending.insert(viewer, sid.clone());
@@ -156,7 +161,14 @@
         let (state, release_cause) = (State::Established(server), Some(cause::RESET));
         self.sessions.insert(
             sid.clone(),
-            Session { conn, state, release_cause, held_by_server: true, established_at: since },
+            Session {
+                conn,
+                state,
+                release_cause,
+                held_by_server: true,
+                established_at: since,
+                process: None,
+            },
         );
         self.index_established(conn, server, sid);
     }
