Do not tell releases again to the successor of a replaced process

Seen: a server restarts under its name; its former process, still connected, is sent the releases of its sessions and resets without reading them. They are written again on the next connection, which leads to the new process.

Cause: what a connection did not deliver is queued for the server, whatever process it led to.

Change: what a replaced process did not read is dropped; no other connection leads to it.

Measured: releases_that_a_replaced_process_did_not_read_are_not_sent_to_its_successor red before, green after twice.

--- a/crates/cli/tests/node_successor.rs
+++ b/crates/cli/tests/node_successor.rs
@@ -135,3 +135,16 @@
     fixture.list_successor(entries);
     assert_nothing_received(&fixture, &successor, vec![server_conn], "early session");
 }
+
+/// Guards against releases that a process did not read before it ended, and that are sent to its successor then.
+#[test]
+fn releases_that_a_replaced_process_did_not_read_are_not_sent_to_its_successor() {
+    let mut fixture = Fixture::new("unread");
+    fixture.listener = None;
+    let successor = Server::at(fixture.address);
+    // Start times in the list have a resolution of 1 ms.
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    fixture.list_successor(vec![endpoint(0, fixture.address, "in_service", unix_ms())]);
+    reset_connection(fixture.server_conn.take().unwrap().stream);
+    assert_nothing_received(&fixture, &successor, Vec::new(), "unread releases");
+}
--- a/crates/node/src/links/outcomes.rs
+++ b/crates/node/src/links/outcomes.rs
@@ -49,7 +49,7 @@
             "connection to a video server ended"
         );
         self.monitor.link_down(self.clock.now(), link.server, id, reason);
-        unread.into_iter().for_each(|line| self.send_line(link.server, line));
+        unread.into_iter().for_each(|line| self.resend_line(&link, line));
         let (attempt, sid) = setup?;
         let end = match reason {
             LinkEndReason::Refused | LinkEndReason::ConnectTimeout => AttemptEnd::NotConnected,
@@ -62,7 +62,7 @@
             LinkEndReason::Disconnected => AttemptEnd::Reset,
             LinkEndReason::Corrupt => {
                 // The corrupt line may have been the answer, so the session may be established.
-                self.send_line(link.server, Line::finish(&sid, cause::DONE));
+                self.resend_line(&link, Line::finish(&sid, cause::DONE));
                 AttemptEnd::Reset
             }
         };
@@ -97,10 +97,10 @@
     /// Releases the session of a sent set-up at its server and closes the connection.
     fn abandon_setup(&mut self, id: LinkId, sid: &SessionId) {
         let Some(link) = self.links.get(&id) else { return };
-        let (server, line) = (link.server, Line::finish(sid, cause::DONE));
+        let (server, is_replaced, line) = (link.server, link.is_replaced, Line::finish(sid, cause::DONE));
         let queued = link.handle.write_last(line.encode());
         self.close(id, CloseReason::SetupCancelled);
-        if !queued {
+        if !queued && !is_replaced {
             self.send_line(server, line); // the connection has just ended, but its session may be established
         }
     }
--- a/crates/node/src/links/processes.rs
+++ b/crates/node/src/links/processes.rs
@@ -37,4 +37,12 @@
             }
         }
     }
+
+    /// Sends a line that could not be delivered on a connection that has ended. A process that has been replaced
+    /// can't be reached any more: another connection would lead to its successor.
+    pub(super) fn resend_line(&mut self, ended: &Link, line: Line) {
+        if !ended.is_replaced {
+            self.send_line(ended.server, line);
+        }
+    }
 }
