Drop gossiped loads that are older than the start of the listed process

Seen by reading: a server restarts under its name, and session managers go on telling each other the loads of its former process, for up to 6 s, as those of the new one.

Cause: gossip knows a server by a digest of its name alone, and did not look at the start that the list tells.

Change: a reading older than that start is not told, kept or taken. The datagram's form is unchanged.

Measured: readings_of_a_former_process_are_dropped red with the comparison taken out, green with it.

--- a/crates/node/src/event_loop/updates.rs
+++ b/crates/node/src/event_loop/updates.rs
@@ -33,7 +33,7 @@
             }
         }
         if let Some(gossip) = &mut self.gossip {
-            gossip.protocol.set_servers(self.directory.name_digests());
+            gossip.protocol.set_servers(self.directory.gossip_servers(now, unix_ms()));
         }
         self.inputs.push(Input::ListUpdate(update));
     }
--- a/crates/platform/src/channel/directory.rs
+++ b/crates/platform/src/channel/directory.rs
@@ -1,9 +1,11 @@
 //! The current server list, with a numeric id for each server process.
 
 use super::*;
+use crate::gossip::GossipServer;
 use cloverhollow::{ListMode, ServerId};
 use cloverhollow_session::{title_id, ListUpdate, ServerEntry, WireState};
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 /// Identity of a server process: its listening address and its start time as listed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -60,9 +62,14 @@
         self.departed.retain(|_, id| in_use(*id));
     }
 
-    /// Listed servers with a digest of their names, which is the same at all session managers.
-    pub fn name_digests(&self) -> impl Iterator<Item = (ServerId, u64)> + '_ {
-        self.by_name.iter().map(|(name, listing)| (listing.id, title_id(name)))
+    /// Listed servers for gossip between session managers, at `now` and the Unix time `unix_ms`.
+    pub fn gossip_servers(&self, now: Duration, unix_ms: u64) -> impl Iterator<Item = GossipServer> + '_ {
+        self.by_name.iter().map(move |(name, listing)| {
+            let age = Duration::from_millis(unix_ms.saturating_sub(listing.process.since_ms));
+            let started_at =
+                if listing.process.since_ms > 0 { now.saturating_sub(age) } else { Duration::ZERO };
+            GossipServer { server: listing.id, key: title_id(name), started_at }
+        })
     }
 
     /// Applies an event at the Unix time `unix_ms`. Returns `None` if the event was applied before or does not concern
--- a/crates/platform/src/gossip.rs
+++ b/crates/platform/src/gossip.rs
@@ -46,6 +46,18 @@
     }
 }
 
+/// A listed server, as gossip knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct GossipServer {
+    /// Id of the server at this session manager.
+    pub server: ServerId,
+    /// Key of the server that is the same at all session managers, whichever of its processes is listed.
+    pub key: u64,
+    /// Start of the listed process on this session manager's clock; zero if it started long ago. Earlier readings are
+    /// those of another process.
+    pub started_at: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Reading {
     digest: u16,
@@ -69,6 +81,8 @@
     /// The server of each digest; `None` if two servers share it and it is ambiguous.
     server_by_digest: BTreeMap<u16, Option<ServerId>>,
     digests: BTreeMap<ServerId, u16>,
+    /// Start of each server's listed process.
+    starts: BTreeMap<ServerId, Duration>,
 }
 
 fn encode_load(share: Option<f64>) -> u8 {
@@ -85,21 +99,32 @@
     pub fn new(config: GossipConfig, peer_count: usize, seed: u64) -> Gossip {
         let rng = fastrand::Rng::with_seed(seed);
         let (readings, server_by_digest, digests) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Gossip { config, peer_count, next_send: None, rng, readings, server_by_digest, digests }
+        let starts = BTreeMap::new();
+        Gossip { config, peer_count, next_send: None, rng, readings, server_by_digest, digests, starts }
     }
 
-    /// Sets the listed servers, each with a key that is the same at all session managers.
+    /// Sets the listed servers.
     ///
-    /// Readings of servers that are not listed any more, or are listed with another key, are dropped.
-    pub fn set_servers(&mut self, servers: impl Iterator<Item = (ServerId, u64)>) {
+    /// Readings of servers that are not listed any more, or are listed with another key, are dropped, and so are those of
+    /// former processes.
+    pub fn set_servers(&mut self, servers: impl Iterator<Item = GossipServer>) {
         self.server_by_digest.clear();
-        for (server, key) in servers {
+        self.starts.clear();
+        for GossipServer { server, key, started_at } in servers {
+            self.starts.insert(server, started_at);
             let digest = (key ^ (key >> 16) ^ (key >> 32) ^ (key >> 48)) as u16;
             self.server_by_digest.entry(digest).and_modify(|s| *s = None).or_insert(Some(server));
         }
         self.digests = self.server_by_digest.iter().filter_map(|(d, s)| Some(((*s)?, *d))).collect();
-        let digests = &self.digests;
-        self.readings.retain(|s, r| digests.get(s) == Some(&r.digest));
+        let (digests, starts) = (&self.digests, &self.starts);
+        self.readings.retain(|s, r| {
+            digests.get(s) == Some(&r.digest) && starts.get(s).is_some_and(|start| *start <= r.measured_at)
+        });
+    }
+
+    /// Returns whether a reading is one of the server's listed process, rather than of a former one.
+    fn is_of_listed_process(&self, server: ServerId, measured_at: Duration) -> bool {
+        self.starts.get(&server).is_some_and(|start| *start <= measured_at)
     }
 
     /// Records a load that a server reported to this session manager, as it was at the time `measured_at`.
@@ -112,6 +137,9 @@
     ) {
         let previous = self.readings.get(&server).copied();
         let Some(digest) = self.digests.get(&server).copied() else { return };
+        if !self.is_of_listed_process(server, measured_at) {
+            return;
+        }
         // A server reports link and uplink in two lines: the second completes the reading of the first.
         let previous = previous.filter(|r| measured_at.saturating_sub(r.measured_at) < MAX_REPORT_SPLIT);
         let link_load =
@@ -168,6 +196,9 @@
             let Some(Some(server)) = self.server_by_digest.get(&digest).copied() else { continue };
             let age = Duration::from_millis((u128::from(entry[4]) * AGE_UNIT_MS) as u64);
             let measured_at = now.saturating_sub(age);
+            if !self.is_of_listed_process(server, measured_at) {
+                continue;
+            }
             if self.readings.get(&server).is_some_and(|r| measured_at <= r.measured_at + MIN_AGE_DIFFERENCE) {
                 continue;
             }
--- a/crates/platform/tests/gossip.rs
+++ b/crates/platform/tests/gossip.rs
@@ -1,7 +1,8 @@
 //! Gossip of loads between session managers: a reading arrives once, unchanged and with its age, and invalid datagrams
 //! are ignored.
 
-use cloverhollow_platform::gossip::{Gossip, GossipConfig, MAX_DATAGRAM_BYTES};
+use cloverhollow::ServerId;
+use cloverhollow_platform::gossip::{Gossip, GossipConfig, GossipServer, MAX_DATAGRAM_BYTES};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -10,10 +11,17 @@
 
 const START: Duration = Duration::from_secs(100);
 
+/// A listed server that started long ago.
+fn listed(server: ServerId, key: u64) -> GossipServer {
+    GossipServer { server, key, started_at: Duration::ZERO }
+}
+
 /// Gossip state with `servers` listed servers, whose ids begin at `first_id`; ids differ between session managers.
 fn gossip(servers: u64, first_id: u64, seed: u64) -> Gossip {
     let mut gossip = Gossip::new(GossipConfig::default(), 9, seed);
-    gossip.set_servers((0..servers).map(|i| (first_id + i, 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(i + 1))));
+    gossip.set_servers(
+        (0..servers).map(|i| listed(first_id + i, 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(i + 1))),
+    );
     gossip
 }
 
@@ -109,17 +117,42 @@
 fn readings_of_a_server_with_another_key_are_dropped() {
     let (mut a, mut b) = (gossip(40, 0, 1), gossip(40, 0, 2));
     a.record_reading(START, 7, Some(0.1), None);
-    b.set_servers((0..40).map(|i| (i, 0x51ed_270b_0a1b_39e1u64.wrapping_mul(i + 77))));
+    b.set_servers((0..40).map(|i| listed(i, 0x51ed_270b_0a1b_39e1u64.wrapping_mul(i + 77))));
     let (at, bytes) = next_datagram(&mut a, START).unwrap();
     assert!(b.handle_datagram(at, &bytes).is_empty());
-    a.set_servers((0..40).map(|i| (i, 0x51ed_270b_0a1b_39e1u64.wrapping_mul(i + 77))));
+    a.set_servers((0..40).map(|i| listed(i, 0x51ed_270b_0a1b_39e1u64.wrapping_mul(i + 77))));
     assert!(next_datagram(&mut a, at).is_none(), "readings under the former key are not sent");
 }
 
+/// Guards against loads of a former process that are taken for those of its successor under the same name: own ones, those
+/// of peers, and those of peers that have not been told of the new process yet.
+#[test]
+fn readings_of_a_former_process_are_dropped() {
+    let restarted = || GossipServer { server: 1, key: 5, started_at: START + ms(1_000) };
+    let new = |seed| {
+        let mut gossip = Gossip::new(GossipConfig::default(), 9, seed);
+        gossip.set_servers([listed(1, 5)].into_iter());
+        gossip
+    };
+    let (mut a, mut b, mut not_told) = (new(1), new(2), new(3));
+    not_told.record_reading(START, 1, Some(0.9), None);
+    a.record_reading(START, 1, Some(0.9), None);
+    a.set_servers([restarted()].into_iter());
+    assert!(next_datagram(&mut a, START + ms(1_000)).is_none(), "the own reading is not sent any more");
+    a.record_reading(START + ms(500), 1, Some(0.9), None);
+    assert!(next_datagram(&mut a, START + ms(2_000)).is_none(), "a late report of the former process");
+    b.set_servers([restarted()].into_iter());
+    let (at, bytes) = next_datagram(&mut not_told, START + ms(1_500)).unwrap();
+    assert!(b.handle_datagram(at, &bytes).is_empty(), "a peer's reading of the former process");
+    a.record_reading(START + ms(2_500), 1, Some(0.2), None);
+    let (at, bytes) = next_datagram(&mut a, START + ms(3_500)).unwrap();
+    assert_eq!(b.handle_datagram(at, &bytes).len(), 1, "a reading of the new process");
+}
+
 /// Readings of two servers with the same digest are ambiguous, so neither is sent.
 #[test]
 fn servers_with_the_same_digest_are_left_out() {
-    let keys = [(1, 5), (2, 5), (3, 6)];
+    let keys = [listed(1, 5), listed(2, 5), listed(3, 6)];
     let (mut a, mut b) =
         (Gossip::new(GossipConfig::default(), 9, 1), Gossip::new(GossipConfig::default(), 9, 2));
     a.set_servers(keys.into_iter());
@@ -136,7 +169,7 @@
     let (n, servers) = (300, 100);
     let mut all: Vec<_> = (0..n).map(|i| Gossip::new(GossipConfig::default(), n - 1, i as u64)).collect();
     let keys = |i: u64| 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(i + 1);
-    all.iter_mut().for_each(|gossip| gossip.set_servers((0..servers).map(|i| (i, keys(i)))));
+    all.iter_mut().for_each(|gossip| gossip.set_servers((0..servers).map(|i| listed(i, keys(i)))));
     let mut known = vec![std::collections::BTreeSet::new(); n];
     let mut bytes = 0;
     for step in 0..100u64 {
