Count releases as read after a batch of which nothing was written

Found by reading, beside the releases that reached a dead server's successor: a batch of commands whose only set-up had become obsolete left an entry that is never finished, so no later release of that connection counted as read. When the connection ended, all of them were told again, to whoever listened at the address by then.

Change: an empty batch is not recorded, and no empty write is queued where a process is replaced.

--- a/crates/node/src/link/recent_writes.rs
+++ b/crates/node/src/link/recent_writes.rs
@@ -27,6 +27,9 @@
     /// Records that a batch is being written; all earlier batches are completely written.
     pub(super) fn begin_batch(&mut self, now: Instant, bytes: &[u8]) {
         self.drop_read(now);
+        if bytes.is_empty() {
+            return; // All commands of the batch were obsolete, so nothing is written.
+        }
         while self.retained_bytes > MAX_RETAINED_BYTES {
             self.drop_oldest();
         }
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -91,3 +91,18 @@
     };
     assert_eq!((reason, is_connecting()), (LinkEndReason::ConnectTimeout, false));
 }
+
+/// Guards against releases that are told again long after they were read: a batch of which nothing was written, as its only
+/// set-up was obsolete, kept all later ones from counting as read.
+#[test]
+fn releases_count_as_read_after_a_batch_of_which_nothing_was_written() {
+    let (mut recent_writes, start) = (RecentWrites::default(), Instant::now());
+    recent_writes.begin_batch(start, &[]);
+    for (n, sid) in ["9b", "9c"].into_iter().enumerate() {
+        let now = start + Duration::from_secs(2 * n as u64);
+        recent_writes.begin_batch(now, &lines::Line::finish(sid, 31).encode());
+        recent_writes.finish_batch(now);
+    }
+    let unread = recent_writes.unread_releases(start + Duration::from_millis(2_500));
+    assert_eq!(unread.iter().map(|line| &*line.sid).collect::<Vec<_>>(), ["9c"]);
+}
--- a/crates/node/src/links/processes.rs
+++ b/crates/node/src/links/processes.rs
@@ -1,6 +1,7 @@
 //! Which server process is at the other end of a connection, and what happens when a process is replaced.
 
 use super::*;
+use bytes::Bytes;
 
 impl Links {
     /// The process behind a connection to `address` that is up now.
@@ -25,8 +26,9 @@
         for (process, id) in links_by_process {
             let sessions = lost.iter().filter(|session| session.process == Some(process));
             let releases = sessions.flat_map(|session| Line::finish(&session.sid, cause::CANCELLED).encode());
-            if let Some(link) = self.links.get(&id) {
-                link.handle.write(releases.collect());
+            let releases: Bytes = releases.collect();
+            if let Some(link) = self.links.get(&id).filter(|_| !releases.is_empty()) {
+                link.handle.write(releases);
             }
         }
         for id in ids {
