--- a/crates/lab/src/rules/tests_platform.rs
+++ b/crates/lab/src/rules/tests_platform.rs
@@ -48,6 +48,14 @@
     assert_eq!(broken(&[ended.clone(), written.clone(), released(1_900)]), 0);
     assert_eq!(broken(&[ended.clone(), written.clone(), released(2_500)]), 1);
     assert_eq!(broken(&[ended.clone(), written]), 1, "never");
+    let by_a_slow_server = (2_400, Seen::ReleaseWritten { server: 7, sid: sid() });
+    assert_eq!(
+        broken(&[ended.clone(), by_a_slow_server.clone(), released(2_450)]),
+        0,
+        "written late, told at once"
+    );
+    assert_eq!(broken(&[ended.clone(), by_a_slow_server, released(3_700)]), 1, "told late");
+    assert_eq!(broken(&[ended.clone(), released(9_500)]), 1, "its server hangs: eight seconds at most");
     assert_eq!(broken(&[ended.clone(), unsent.clone(), released(8_500)]), 0, "its server had no connection");
     assert_eq!(broken(&[ended.clone(), unsent.clone(), released(9_500)]), 1);
     let late = (4_000, Seen::ReleaseWritten { server: 7, sid: sid() });
